--- /dev/null
+++ b/internal/models/state/command.go
@@ -0,0 +1,171 @@
+package state
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"wagtaillift/internal/models/claim"
+	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/models/lease"
+	"wagtaillift/internal/models/order"
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/models/usage"
+)
+
+// Command is one entry of the replicated log. Exactly one field is set.
+type Command struct {
+	Change  *Change  `json:"change,omitempty"`
+	Join    *Member  `json:"join,omitempty"`
+	Leave   *Leave   `json:"leave,omitempty"`
+	Acquire *Acquire `json:"acquire,omitempty"`
+	Release *Release `json:"release,omitempty"`
+	Expire  *Expire  `json:"expire,omitempty"`
+	Claim   *Claim   `json:"claim,omitempty"`
+	Settle  *Settle  `json:"settle,omitempty"`
+	Usage   *Usage   `json:"usage,omitempty"`
+	Seal    *Seal    `json:"seal,omitempty"`
+	Ack     *Ack     `json:"ack,omitempty"`
+	Intent  *Intent  `json:"intent,omitempty"`
+	Outcome *Outcome `json:"outcome,omitempty"`
+}
+
+// Change alters the configuration. Exactly one of the fields after Reason is set.
+type Change struct {
+	Base    id.Revision `json:"base"`
+	Any     bool        `json:"any,omitempty"` // accept whatever the current revision is
+	Request id.Request  `json:"request"`
+	Actor   id.Key      `json:"actor"`
+	At      time.Time   `json:"at"`
+	Reason  string      `json:"reason,omitempty"`
+
+	Customer  *customer.Customer `json:"customer,omitempty"`
+	Service   *service.Service   `json:"service,omitempty"`
+	Key       *key.Key           `json:"key,omitempty"`
+	Withdraw  id.Key             `json:"withdraw,omitempty"`
+	Defaults  policy.Defaults    `json:"defaults,omitempty"`
+	Exception *policy.Exception  `json:"exception,omitempty"`
+	Drop      string             `json:"drop,omitempty"` // exception to remove
+	Retire    id.Service         `json:"retire,omitempty"`
+}
+
+// Member is one VM that may hold a VM lease.
+type Member struct {
+	VM          id.VM          `json:"vm"`
+	Zone        id.Zone        `json:"zone"`
+	Peer        string         `json:"peer"`
+	Operator    string         `json:"operator,omitempty"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	Control     bool           `json:"control,omitempty"`
+}
+
+// Leave removes a member whose VM lease has ended or that said goodbye.
+type Leave struct {
+	VM          id.VM          `json:"vm"`
+	Incarnation id.Incarnation `json:"incarnation"`
+}
+
+// Acquire asks for a lease or renews it.
+type Acquire struct {
+	Name        lease.Name     `json:"name"`
+	VM          id.VM          `json:"vm"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	Duration    time.Duration  `json:"duration"`
+}
+
+// Release gives a lease up at once.
+type Release struct {
+	Name  lease.Name `json:"name"`
+	Fence id.Fence   `json:"fence"`
+}
+
+// Expire frees a lease that has not been renewed since Renewal.
+type Expire struct {
+	Name    lease.Name `json:"name"`
+	Fence   id.Fence   `json:"fence"`
+	Renewal uint64     `json:"renewal"`
+}
+
+// Claim opens a claim; an existing one is returned instead.
+type Claim struct {
+	Claim claim.Claim `json:"claim"`
+	At    time.Time   `json:"at"`
+}
+
+// Settle ends a claim.
+type Settle struct {
+	ID      claim.ID      `json:"id"`
+	Request id.Request    `json:"request"`
+	State   claim.State   `json:"state"`
+	Answer  *claim.Answer `json:"answer,omitempty"`
+}
+
+// Usage merges cumulative counters.
+type Usage struct {
+	Readings []usage.Reading `json:"readings"`
+}
+
+// Seal fixes the figure of a window: all usage committed before it and not yet in an earlier window.
+type Seal struct {
+	Window id.Window `json:"window"`
+	Fence  id.Fence  `json:"fence"`
+}
+
+// Ack records that the platform has taken the report of a window.
+type Ack struct {
+	Window id.Window `json:"window"`
+	Fence  id.Fence  `json:"fence"`
+}
+
+// Intent commits an order before it is sent.
+type Intent struct {
+	Lease lease.Name  `json:"lease"`
+	Order order.Order `json:"order"`
+}
+
+// Outcome ends an order.
+type Outcome struct {
+	Upstream id.Upstream `json:"upstream"`
+	ID       id.Index    `json:"id"`
+	State    order.State `json:"state"`
+	Reason   string      `json:"reason,omitempty"`
+}
+
+// Code classifies the outcome of a command.
+type Code string
+
+// The outcomes of a command.
+const (
+	OK       Code = "ok"
+	Conflict Code = "conflict" // another change, holder or order came first
+	Invalid  Code = "invalid"
+	Missing  Code = "missing"
+	Denied   Code = "denied"
+)
+
+// Result is what applying a command answered.
+type Result struct {
+	Code     Code         `json:"code"`
+	Message  string       `json:"message,omitempty"`
+	Index    id.Index     `json:"index,omitempty"`
+	Revision id.Revision  `json:"revision,omitempty"`
+	Lease    *lease.Lease `json:"lease,omitempty"`
+	Claim    *claim.Claim `json:"claim,omitempty"`
+	Fresh    bool         `json:"fresh,omitempty"` // the claim was opened by this command
+}
+
+// Encode returns the log form of c.
+func (c Command) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errors.Annotate(err, "encode command")
+}
+
+func decode(data []byte) (Command, error) {
+	var c Command
+	err := cbor.Unmarshal(data, &c)
+	return c, errors.Annotate(err, "decode command")
+}
--- /dev/null
+++ b/internal/modules/hash/hash.go
@@ -0,0 +1,47 @@
+// Package hash gives the 64-bit mixing functions for placement decisions.
+package hash
+
+import "hash/maphash"
+
+// FNV-1a parameters for 64 bits.
+const (
+	offset64 = 14695981039346656037
+	prime64  = 1099511628211
+)
+
+// String returns the FNV-1a hash of s, equal on every VM.
+func String[T ~string](s T) uint64 {
+	h := uint64(offset64)
+	for i := 0; i < len(s); i++ {
+		h ^= uint64(s[i])
+		h *= prime64
+	}
+	return Mix(h)
+}
+
+// Bytes returns the FNV-1a hash of b, equal on every VM.
+func Bytes(b []byte) uint64 {
+	h := uint64(offset64)
+	for _, c := range b {
+		h ^= uint64(c)
+		h *= prime64
+	}
+	return Mix(h)
+}
+
+// Mix spreads the bits of x (the finaliser of SplitMix64, Steele et al. 2014).
+func Mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Pair combines two hashes for rendezvous hashing (Thaler and Ravishankar 1998).
+func Pair(a, b uint64) uint64 { return Mix(a ^ Mix(b)) }
+
+var seed = maphash.MakeSeed()
+
+// Local returns a hash of s that is valid inside this process only.
+func Local(s string) uint64 { return maphash.String(seed, s) }
