--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+RAPID ?= -rapid.seed=7 -rapid.checks=2000
+
+.PHONY: build run test race lint bench fleet
+
+build:
+	$(GO) build -o bin/wagtaillift .
+
+run: build
+	bin/wagtaillift serve --demo
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./internal/...
+
+lint:
+	@test -z "$$($(GO) tool gofumpt -l main.go cmd internal)" || { $(GO) tool gofumpt -l main.go cmd internal; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+bench: build
+	bash scripts/bench.sh
+
+fleet: build
+	bash scripts/fleet.sh
--- /dev/null
+++ b/cmd/admin.go
@@ -0,0 +1,345 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/routers/operator"
+)
+
+const (
+	adminTimeout = 15 * time.Second
+	adminTries   = 3
+)
+
+type adminArgs struct {
+	Server  []string `arg:"--server,separate,env:WAGTAILLIFT_SERVER" help:"administration address, http://host:port; may be given more than once"`
+	Key     string   `arg:"--key,env:WAGTAILLIFT_KEY" help:"operator's key"`
+	Base    string   `arg:"--base" help:"revision that the change is based on; the current one where it is left out"`
+	Request string   `arg:"--request" help:"request id; give the same one when sending a change again"`
+	Stale   bool     `arg:"--stale" help:"read this VM's own state without asking a quorum"`
+
+	State     *adminGet       `arg:"subcommand:state" help:"show the VM, the members and the leases"`
+	Config    *adminGet       `arg:"subcommand:config" help:"show the configuration"`
+	History   *adminGet       `arg:"subcommand:history" help:"show the accepted changes"`
+	Force     *adminGet       `arg:"subcommand:force" help:"show which VM has applied which revision"`
+	Upstreams *adminGet       `arg:"subcommand:upstreams" help:"show the upstreams of the VM's data centre"`
+	Orders    *adminGet       `arg:"subcommand:orders" help:"show the latest order of each upstream"`
+	Usage     *adminGet       `arg:"subcommand:usage" help:"show the sealed usage windows"`
+	Effective *adminEffective `arg:"subcommand:effective" help:"show what is in force for a customer or service, and why"`
+	Explain   *adminExplain   `arg:"subcommand:explain" help:"show the decisions taken for a request"`
+	Customer  *adminCustomer  `arg:"subcommand:customer" help:"create or change a customer"`
+	Service   *adminService   `arg:"subcommand:service" help:"create or change a service"`
+	Retire    *adminName      `arg:"subcommand:retire" help:"remove a service"`
+	Create    *adminKey       `arg:"subcommand:key" help:"create a key and show its secret once"`
+	Withdraw  *adminName      `arg:"subcommand:withdraw" help:"withdraw a key"`
+	Default   *adminDefault   `arg:"subcommand:default" help:"set defaults, FIELD=VALUE"`
+	Exception *adminException `arg:"subcommand:exception" help:"set an exception"`
+	Drop      *adminName      `arg:"subcommand:drop" help:"remove an exception"`
+}
+
+type adminGet struct{}
+
+type adminEffective struct {
+	Customer string `arg:"--customer"`
+	Service  string `arg:"--service"`
+}
+
+type adminExplain struct {
+	ID string `arg:"positional,required" help:"the Wagtaillift-Request of an answer; ask the VM that gave it"`
+}
+
+type adminName struct {
+	ID string `arg:"positional,required"`
+}
+
+type adminCustomer struct {
+	ID     string `arg:"positional,required"`
+	Title  string `arg:"--title"`
+	Frozen bool   `arg:"--frozen" help:"refuse all its calls"`
+}
+
+type adminService struct {
+	ID         string   `arg:"positional,required"`
+	Kind       string   `arg:"--kind" default:"model" help:"model or plain"`
+	Model      string   `arg:"--model" help:"weights of a model service; its id where left out"`
+	Open       bool     `arg:"--open" help:"answers without a key"`
+	Repeatable bool     `arg:"--repeatable" help:"all methods of a plain service are idempotent"`
+	Customers  []string `arg:"--customer,separate" help:"limit to these customers"`
+}
+
+type adminKey struct {
+	ID       string        `arg:"positional,required"`
+	Role     string        `arg:"--role" default:"caller" help:"caller, viewer, editor, admin or upstream"`
+	Customer string        `arg:"--customer" help:"of a caller's key"`
+	Life     time.Duration `arg:"--life" help:"validity; without it the key does not expire"`
+}
+
+type adminDefault struct {
+	Set    []string `arg:"positional,required" help:"FIELD=VALUE"`
+	Reason string   `arg:"--reason"`
+}
+
+type adminException struct {
+	ID       string  `arg:"positional,required"`
+	Field    string  `arg:"--field,required"`
+	Value    float64 `arg:"--value,required"`
+	Reason   string  `arg:"--reason,required"`
+	Customer string  `arg:"--customer"`
+	Service  string  `arg:"--service"`
+}
+
+func (a *adminArgs) run(ctx context.Context, out io.Writer) error {
+	if len(a.Server) == 0 || a.Key == "" {
+		return exit(ExitUsage, "admin needs --server and --key, or WAGTAILLIFT_SERVER and WAGTAILLIFT_KEY")
+	}
+	c := &adminClient{servers: a.Server, key: a.Key, stale: a.Stale, out: out, http: &http.Client{Timeout: adminTimeout}}
+	if path, ok := a.reading(); ok {
+		return c.get(ctx, path)
+	}
+	method, path, body, secret, err := a.changing()
+	if err != nil {
+		return err
+	}
+	if method == "" {
+		return exit(ExitUsage, "admin needs a subcommand; see wagtaillift admin --help")
+	}
+	return c.change(ctx, method, path, body, a.Base, a.Request, secret)
+}
+
+// reading returns the path of a reading subcommand.
+func (a *adminArgs) reading() (string, bool) {
+	switch {
+	case a.State != nil:
+		return "state", true
+	case a.Config != nil:
+		return "config", true
+	case a.History != nil:
+		return "history", true
+	case a.Force != nil:
+		return "force", true
+	case a.Upstreams != nil:
+		return "upstreams", true
+	case a.Orders != nil:
+		return "orders", true
+	case a.Usage != nil:
+		return "usage", true
+	case a.Effective != nil:
+		q := url.Values{"customer": {a.Effective.Customer}, "service": {a.Effective.Service}}
+		return "effective?" + q.Encode(), true
+	case a.Explain != nil:
+		return "explain/" + url.PathEscape(a.Explain.ID), true
+	}
+	return "", false
+}
+
+// changing returns the request of a changing subcommand, and the secret of a new key.
+func (a *adminArgs) changing() (method, path string, body any, secret string, err error) {
+	switch {
+	case a.Customer != nil:
+		n := a.Customer
+		return "PUT", "customers/" + n.ID, customer.Customer{ID: id.Customer(n.ID), Title: n.Title, Frozen: n.Frozen}, "", nil
+	case a.Service != nil:
+		return "PUT", "services/" + a.Service.ID, a.Service.body(), "", nil
+	case a.Retire != nil:
+		return "DELETE", "services/" + a.Retire.ID, nil, "", nil
+	case a.Create != nil:
+		k := key.Key{ID: id.Key(a.Create.ID), Role: key.Role(a.Create.Role), Customer: id.Customer(a.Create.Customer)}
+		if a.Create.Life > 0 {
+			k.Expires = time.Now().Add(a.Create.Life).UTC()
+		}
+		secret, k.Hash, err = key.Generate(k.ID)
+		return "PUT", "keys/" + a.Create.ID, k, secret, err
+	case a.Withdraw != nil:
+		return "DELETE", "keys/" + a.Withdraw.ID, nil, "", nil
+	case a.Default != nil:
+		set, err := parseDefaults(a.Default.Set)
+		return "PATCH", "defaults?" + url.Values{"reason": {a.Default.Reason}}.Encode(), set, "", err
+	case a.Exception != nil:
+		n := a.Exception
+		return "PUT", "exceptions/" + n.ID, policy.Exception{
+			ID: n.ID, Customer: id.Customer(n.Customer), Service: id.Service(n.Service),
+			Field: policy.Field(n.Field), Value: n.Value, Reason: n.Reason,
+		}, "", nil
+	case a.Drop != nil:
+		return "DELETE", "exceptions/" + a.Drop.ID, nil, "", nil
+	}
+	return "", "", nil, "", nil
+}
+
+func (a *adminService) body() service.Service {
+	s := service.Service{
+		ID: id.Service(a.ID), Kind: service.Kind(a.Kind), Model: id.Model(a.Model), Open: a.Open, Repeatable: a.Repeatable,
+	}
+	if s.Kind == service.Model && s.Model == "" {
+		s.Model = id.Model(a.ID)
+	}
+	for _, c := range a.Customers {
+		s.Customers = append(s.Customers, id.Customer(c))
+	}
+	return s
+}
+
+func parseDefaults(list []string) (policy.Defaults, error) {
+	set := policy.Defaults{}
+	for _, s := range list {
+		f, v, ok := strings.Cut(s, "=")
+		n, err := strconv.ParseFloat(v, 64)
+		if !ok || err != nil {
+			return nil, exit(ExitUsage, "%q is not FIELD=VALUE with a number", s)
+		}
+		set[policy.Field(f)] = n
+	}
+	return set, nil
+}
+
+// adminClient talks to the administration API.
+type adminClient struct {
+	servers []string
+	key     string
+	stale   bool
+	out     io.Writer
+	http    *http.Client
+}
+
+// do sends a request to the first server that can be reached.
+func (c *adminClient) do(ctx context.Context, method, path string, body []byte, head http.Header) (*http.Response, error) {
+	var last error
+	for _, server := range c.servers {
+		r, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(server, "/")+"/api/v1/"+path, bytes.NewReader(body))
+		if err != nil {
+			return nil, errors.Annotate(err, "build request")
+		}
+		r.Header = head.Clone()
+		r.Header.Set("Authorization", "Bearer "+c.key)
+		resp, err := c.http.Do(r)
+		if err == nil {
+			return resp, nil
+		}
+		last = err
+	}
+	return nil, exit(ExitNoQuorum, "no server can be reached: %v", last)
+}
+
+func (c *adminClient) get(ctx context.Context, path string) error {
+	if c.stale {
+		sep := "?"
+		if strings.Contains(path, "?") {
+			sep = "&"
+		}
+		path += sep + "stale=1"
+	}
+	resp, err := c.do(ctx, http.MethodGet, path, nil, http.Header{})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return problem(resp)
+	}
+	_, err = io.Copy(c.out, resp.Body)
+	return errors.Annotate(err, "read answer")
+}
+
+// revision returns the current revision.
+func (c *adminClient) revision(ctx context.Context) (string, error) {
+	resp, err := c.do(ctx, http.MethodGet, "force", nil, http.Header{})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", problem(resp)
+	}
+	return strings.Trim(resp.Header.Get("ETag"), `"`), nil
+}
+
+// change sends a change with a request id, and again under the same id where its outcome is not known.
+func (c *adminClient) change(ctx context.Context, method, path string, body any, base, request, secret string) error {
+	if base == "" {
+		var err error
+		if base, err = c.revision(ctx); err != nil {
+			return err
+		}
+	}
+	if request == "" {
+		request = fmt.Sprintf("cli-%d", time.Now().UnixNano())
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Annotate(err, "encode")
+	}
+	head := http.Header{"If-Match": {strconv.Quote(base)}, "Request-Id": {request}, "Content-Type": {"application/json"}}
+	if base == "*" {
+		head.Set("If-Match", "*")
+	}
+	var resp *http.Response
+	for try := range adminTries {
+		resp, err = c.do(ctx, method, path, data, head)
+		if err == nil && resp.StatusCode != http.StatusGatewayTimeout || try == adminTries-1 {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return c.changed(resp, secret)
+}
+
+func (c *adminClient) changed(resp *http.Response, secret string) error {
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusAccepted {
+		return problem(resp)
+	}
+	var ch operator.Changed
+	if err := json.NewDecoder(resp.Body).Decode(&ch); err != nil {
+		return errors.Annotate(err, "read answer")
+	}
+	fmt.Fprintf(c.out, "revision %d\n", ch.Revision)
+	if secret != "" {
+		fmt.Fprintf(c.out, "secret %s\n", secret)
+	}
+	if len(ch.Missed) > 0 {
+		fmt.Fprintf(c.out, "not reached at once %v\n", ch.Missed)
+	}
+	if resp.StatusCode == http.StatusAccepted {
+		return exit(ExitPending, "accepted; not yet applied by %v", ch.Pending)
+	}
+	return nil
+}
+
+// problem turns an error answer into an error with its exit code.
+func problem(resp *http.Response) error {
+	var p operator.Problem
+	json.NewDecoder(resp.Body).Decode(&p)
+	code := ExitFailed
+	switch resp.StatusCode {
+	case http.StatusBadRequest, http.StatusPreconditionRequired:
+		code = ExitUsage
+	case http.StatusConflict:
+		code = ExitConflict
+		p.Error += fmt.Sprintf(" (current revision %d)", p.Revision)
+	case http.StatusNotFound:
+		code = ExitMissing
+	case http.StatusUnauthorized, http.StatusForbidden:
+		code = ExitDenied
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		code = ExitNoQuorum
+	}
+	return exit(code, "%s: %s", resp.Status, p.Error)
+}
--- /dev/null
+++ b/cmd/emulate.go
@@ -0,0 +1,121 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/emulate"
+)
+
+type emulateArgs struct {
+	Plan string `arg:"--plan,required" help:"JSON file that lists the stand-ins; see docs/EMULATOR.md"`
+}
+
+// emulatePlan lists the stand-ins of one process.
+type emulatePlan struct {
+	KeyFile  string          `json:"keyfile"` // upstream credential
+	Platform string          `json:"platform"`
+	Seed     uint64          `json:"seed"`
+	Engines  []emulateEngine `json:"engines"`
+	Apps     []emulateApp    `json:"apps"`
+}
+
+type emulateEngine struct {
+	engine.Announcement
+	Announce []string       `json:"announce"`
+	Faults   emulate.Faults `json:"faults"`
+	Restart  string         `json:"restart"`
+	Lag      string         `json:"lag"`
+}
+
+type emulateApp struct {
+	engine.Announcement
+	Announce []string `json:"announce"`
+	Delay    string   `json:"delay"`
+}
+
+func (a *emulateArgs) run(ctx context.Context, out io.Writer) error {
+	raw, err := os.ReadFile(a.Plan)
+	if err != nil {
+		return errors.Annotate(err, "read plan")
+	}
+	var plan emulatePlan
+	if err := json.Unmarshal(raw, &plan); err != nil {
+		return errors.Annotatef(err, "plan %s", a.Plan)
+	}
+	secret := ""
+	if plan.KeyFile != "" {
+		raw, err := os.ReadFile(plan.KeyFile)
+		if err != nil {
+			return errors.Annotate(err, "read upstream credential")
+		}
+		secret = strings.TrimSpace(string(raw))
+	}
+	if err := startStandIns(ctx, &plan, secret); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d engines, %d applications\n", len(plan.Engines), len(plan.Apps))
+	<-ctx.Done()
+	return nil
+}
+
+func startStandIns(ctx context.Context, plan *emulatePlan, secret string) error {
+	weights := &emulate.Weights{Each: time.Second}
+	for i, e := range plan.Engines {
+		restart, err := optional(e.Restart)
+		if err != nil {
+			return err
+		}
+		lag, err := optional(e.Lag)
+		if err != nil {
+			return err
+		}
+		x := emulate.NewEngine(emulate.Options{
+			Announcement: e.Announcement, Announce: e.Announce, Key: secret, Faults: e.Faults,
+			Seed: plan.Seed + uint64(i), Restart: restart, Lag: lag, Weights: weights,
+		})
+		if err := x.Start(ctx); err != nil {
+			return err
+		}
+	}
+	ledgers := map[id.Service]*emulate.Ledger{}
+	for _, p := range plan.Apps {
+		delay, err := optional(p.Delay)
+		if err != nil {
+			return err
+		}
+		if ledgers[p.Service] == nil {
+			ledgers[p.Service] = &emulate.Ledger{}
+		}
+		x := &emulate.App{
+			Announcement: p.Announcement, Announce: p.Announce, Key: secret, Ledger: ledgers[p.Service], Delay: delay,
+		}
+		if err := x.Start(ctx); err != nil {
+			return err
+		}
+	}
+	if plan.Platform == "" {
+		return nil
+	}
+	srv := &http.Server{Addr: plan.Platform, Handler: &emulate.Platform{}, ReadHeaderTimeout: time.Minute}
+	go srv.ListenAndServe()
+	return nil
+}
+
+func optional(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(s)
+	return d, errors.Annotate(err, "plan")
+}
--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,204 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+
+	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/modules/cert"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/setting"
+	"wagtaillift/internal/routers/vm"
+	"wagtaillift/internal/services/authority"
+	"wagtaillift/internal/services/emulate"
+)
+
+type serveArgs struct {
+	Config string `arg:"--config" help:"settings file" placeholder:"FILE"`
+	Demo   bool   `arg:"--demo" help:"run one VM with an embedded engine, application and platform, and a sample customer"`
+}
+
+func (a *serveArgs) run(ctx context.Context, out io.Writer) error {
+	if a.Demo == (a.Config != "") {
+		return exit(ExitUsage, "serve needs either --config FILE or --demo")
+	}
+	if a.Demo {
+		return serveDemo(ctx, out)
+	}
+	cfg, err := setting.Load(a.Config)
+	if err != nil {
+		return err
+	}
+	setLog(cfg.Log.Verbosity)
+	v, err := vm.New(cfg)
+	if err != nil {
+		return err
+	}
+	return v.Run(ctx)
+}
+
+type foundArgs struct {
+	Config string `arg:"--config,required" help:"settings file of the first control VM" placeholder:"FILE"`
+	Keys   string `arg:"--keys,required" help:"folder to write the first keys into" placeholder:"FOLDER"`
+}
+
+func (a *foundArgs) run(out io.Writer) error {
+	cfg, err := setting.Load(a.Config)
+	if err != nil {
+		return err
+	}
+	if cfg.Data.Folder == "" {
+		return exit(ExitUsage, "data.folder is empty: a fleet is founded on a control VM")
+	}
+	keys, err := found(cfg, nil)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(a.Keys, 0o700); err != nil {
+		return errors.Annotate(err, "create key folder")
+	}
+	for _, k := range keys {
+		path := filepath.Join(a.Keys, k.name)
+		if err := os.WriteFile(path, []byte(k.secret+"\n"), 0o600); err != nil {
+			return errors.Annotate(err, "write key")
+		}
+		fmt.Fprintln(out, path)
+	}
+	return nil
+}
+
+// secretKey is a key made at founding.
+type secretKey struct {
+	name, secret string
+}
+
+// found creates the state of a new fleet with an admin key, an upstream credential and further changes.
+func found(cfg setting.Config, more []state.Change) ([]secretKey, error) {
+	var keys []secretKey
+	var list []state.Command
+	add := func(ch state.Change) {
+		ch.Any, ch.Actor, ch.At = true, "founder", time.Now().UTC()
+		ch.Request = id.Request(fmt.Sprint("found-", len(list)))
+		list = append(list, state.Command{Change: &ch})
+	}
+	for _, k := range []key.Key{{ID: "admin", Role: key.Admin}, {ID: "upstream", Role: key.Upstream}} {
+		secret, hash, err := key.Generate(k.ID)
+		if err != nil {
+			return nil, err
+		}
+		k.Hash = hash
+		keys = append(keys, secretKey{string(k.ID), secret})
+		add(state.Change{Key: &k})
+	}
+	for _, ch := range more {
+		add(ch)
+	}
+	return keys, authority.Found(cfg.Data.Folder, id.VM(cfg.VM), list)
+}
+
+// The names of the sample objects of the demo.
+const (
+	demoCustomer = "kochi"
+	demoModel    = "verdict"
+	demoApp      = "booking"
+)
+
+const demoCertLife = 24 * time.Hour
+
+// serveDemo runs one VM with everything it needs in a temporary folder.
+func serveDemo(ctx context.Context, out io.Writer) error {
+	folder, err := os.MkdirTemp("", "wagtaillift-demo-")
+	if err != nil {
+		return errors.Annotate(err, "create demo folder")
+	}
+	defer os.RemoveAll(folder)
+	cfg := setting.Default()
+	cfg.Zone = "kochi"
+	cfg.Peers.Cert = filepath.Join(folder, "cert")
+	cfg.Data.Folder = filepath.Join(folder, "data")
+	cfg.Bill.Window = 10 * time.Second
+	now := time.Now()
+	ca := filepath.Join(folder, "ca")
+	if err := cert.NewCA(ca, "demo", now, demoCertLife); err != nil {
+		return err
+	}
+	if err := cert.NewVM(ca, cfg.Peers.Cert, id.VM(cfg.VM), id.Zone(cfg.Zone), now, demoCertLife); err != nil {
+		return err
+	}
+	secret, hash, err := key.Generate("sample")
+	if err != nil {
+		return err
+	}
+	keys, err := found(cfg, []state.Change{
+		{Customer: &customer.Customer{ID: demoCustomer}},
+		{Service: &service.Service{ID: demoModel, Kind: service.Model, Model: demoModel}},
+		{Service: &service.Service{ID: demoApp, Kind: service.Plain}},
+		{Key: &key.Key{ID: "sample", Role: key.Caller, Customer: demoCustomer, Hash: hash}},
+	})
+	if err != nil {
+		return err
+	}
+	platform, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Annotate(err, "listen for platform")
+	}
+	go http.Serve(platform, &emulate.Platform{})
+	cfg.Bill.Platform = "http://" + platform.Addr().String()
+	v, err := vm.New(cfg)
+	if err != nil {
+		return err
+	}
+	if err := startDemoUpstreams(ctx, cfg, keys[1].secret); err != nil {
+		return err
+	}
+	printDemo(out, cfg, secret, keys[0].secret)
+	return v.Run(ctx)
+}
+
+func startDemoUpstreams(ctx context.Context, cfg setting.Config, credential string) error {
+	to := []string{"http://" + cfg.Listen.Upstream}
+	e := emulate.NewEngine(emulate.Options{
+		Announcement: engine.Announcement{
+			Name: "engine1", Zone: id.Zone(cfg.Zone), Address: "127.0.0.1:0", Model: demoModel, Fenced: true,
+		},
+		Announce: to, Key: credential, Restart: time.Second,
+	})
+	if err := e.Start(ctx); err != nil {
+		return err
+	}
+	a := &emulate.App{
+		Announcement: engine.Announcement{Name: "app1", Zone: id.Zone(cfg.Zone), Address: "127.0.0.1:0", Service: demoApp},
+		Announce:     to, Key: credential, Ledger: &emulate.Ledger{},
+	}
+	return a.Start(ctx)
+}
+
+func printDemo(out io.Writer, cfg setting.Config, secret, admin string) {
+	fmt.Fprintf(out, `One VM is starting with an emulated engine, application and platform. Stream an answer with:
+
+curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"max_tokens":40,"messages":[{"role":"user","content":"The starter clicks once and stops. What is wrong?"}]}'
+
+Call the application:
+
+curl http://%s/s/%s/slots -H 'Authorization: Bearer %s'
+
+Read the fleet's state:
+
+bin/wagtaillift admin --server http://%s --key %s state
+
+Stop with Ctrl-C.
+
+`, cfg.Listen.Caller, secret, demoModel, cfg.Listen.Caller, demoApp, secret, cfg.Listen.Operator, admin)
+}
--- a/internal/models/state/authority.go
+++ b/internal/models/state/authority.go
@@ -3,10 +3,10 @@
 import (
 	"sort"
 
-	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/id"
 )
 
 // acquire grants a free lease or renews it for its holder.
--- a/internal/models/state/command.go
+++ b/internal/models/state/command.go
@@ -8,13 +8,13 @@
 
 	"wagtaillift/internal/models/claim"
 	"wagtaillift/internal/models/customer"
-	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/models/key"
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/service"
 	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/id"
 )
 
 // Command is one entry of the replicated log. Exactly one field is set.
--- a/internal/models/state/config.go
+++ b/internal/models/state/config.go
@@ -7,10 +7,10 @@
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/customer"
-	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/models/key"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/modules/id"
 )
 
 // historyLength is the number of past changes kept for reading back.
--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -10,10 +10,10 @@
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/claim"
-	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/rcu"
 )
 
@@ -130,6 +130,13 @@
 	return append([]usage.Report(nil), m.t.Reports...)
 }
 
+// Count returns the committed counter of src.
+func (m *Machine) Count(src usage.Source) usage.Count {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.t.Counts[src]
+}
+
 // Claims returns the claims of vm that are still running.
 func (m *Machine) Claims(vm id.VM) []claim.Claim {
 	m.mu.Lock()
--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -15,8 +15,8 @@
 	"github.com/quic-go/quic-go"
 	"k8s.io/klog/v2"
 
-	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/cert"
+	"wagtaillift/internal/modules/id"
 )
 
 const (
@@ -31,6 +31,9 @@
 	codeRefused  = 1
 )
 
+// ErrUnreached says that no byte of a call was sent.
+var ErrUnreached = errors.New("the peer could not be reached")
+
 // Handler answers one call from a VM of the fleet.
 type Handler func(ctx context.Context, from id.VM, body []byte) ([]byte, error)
 
@@ -224,11 +227,11 @@
 	l := t.link(address)
 	conn, err := t.connect(ctx, l, address)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, ErrUnreached)
 	}
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, ErrUnreached)
 	}
 	stop := context.AfterFunc(ctx, func() {
 		s.CancelRead(codeFinished)
--- a/internal/modules/quorum/quorum_test.go
+++ b/internal/modules/quorum/quorum_test.go
@@ -28,7 +28,6 @@
 	list    []string
 	applied Index
 	down    bool
-	skew    time.Duration
 }
 
 // cluster drives cores through an unreliable network. Rapid draws the seed of a schedule; its own draws favour small
--- /dev/null
+++ b/internal/routers/vm/vm.go
@@ -0,0 +1,341 @@
+// Package vm assembles one VM: its part in the shared state, its rosters and limits, and its listeners.
+package vm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/cert"
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/peer"
+	"wagtaillift/internal/modules/setting"
+	"wagtaillift/internal/modules/upstream"
+	"wagtaillift/internal/routers/announce"
+	"wagtaillift/internal/routers/caller"
+	"wagtaillift/internal/routers/operator"
+	"wagtaillift/internal/services/authority"
+	"wagtaillift/internal/services/billing"
+	"wagtaillift/internal/services/burn"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/dispatch"
+	"wagtaillift/internal/services/journal"
+	"wagtaillift/internal/services/limit"
+	"wagtaillift/internal/services/order"
+	"wagtaillift/internal/services/pipeline"
+	"wagtaillift/internal/services/quarantine"
+	"wagtaillift/internal/services/roster"
+)
+
+const (
+	methodHold   = "hold"
+	methodRefuse = "refuse"
+	peerTimeout  = time.Second
+	idlePoll     = 20 * time.Millisecond
+	leaveTimeout = 5 * time.Second
+	closeTimeout = 2 * time.Second
+	leastDemand  = 0.01 // tokens a second below which a customer is left out of reports
+)
+
+// VM is one running VM.
+type VM struct {
+	cfg       setting.Config
+	transport *peer.Transport
+	authority *authority.Authority
+	roster    *roster.Roster
+	gossip    *roster.Gossip
+	limiter   *limit.Limiter
+	meter     *billing.Meter
+	caller    *caller.Handler
+	operator  *operator.Handler
+	burn      *burn.Meter
+	journal   *journal.Journal
+	refused   *quarantine.List
+	orders    *order.Service
+	stopping  atomic.Bool
+	unhealthy atomic.Bool
+	servers   []*http.Server
+	listeners []net.Listener
+}
+
+// New builds a VM from checked settings and binds its addresses.
+func New(cfg setting.Config) (*VM, error) {
+	store, err := cert.Load(cfg.Peers.Cert)
+	if err != nil {
+		return nil, err
+	}
+	v := &VM{
+		cfg: cfg, limiter: &limit.Limiter{}, burn: &burn.Meter{}, journal: &journal.Journal{}, refused: &quarantine.List{},
+	}
+	if v.transport, err = peer.New(cfg.Listen.Peer, store); err != nil {
+		return nil, err
+	}
+	inc := id.Incarnation(time.Now().UnixNano())
+	v.authority, err = authority.New(authority.Options{
+		VM: id.VM(cfg.VM), Zone: id.Zone(cfg.Zone), Incarnation: inc, Peer: cfg.PeerAddress(),
+		Operator: cfg.Listen.Operator, Folder: cfg.Data.Folder, Seeds: cfg.Peers.Seeds, Voters: cfg.Data.Voters,
+		Transport: v.transport,
+	})
+	if err != nil {
+		return nil, err
+	}
+	v.buildRoster(inc)
+	v.buildMeter(inc)
+	v.buildLimits()
+	v.buildCaller(inc)
+	v.operator = &operator.Handler{
+		Authority: v.authority, Roster: v.roster, Explain: v.journal.Explain,
+		Burn: func(now time.Time) any { return v.burn.Report(now) },
+	}
+	v.operator.Register()
+	v.orders = order.New(order.Options{
+		Authority: v.authority, Roster: v.roster, Platform: cfg.Bill.Platform, Window: cfg.Bill.Window,
+	})
+	return v, v.listen()
+}
+
+func (v *VM) buildRoster(inc id.Incarnation) {
+	a := v.authority
+	v.gossip = &roster.Gossip{Transport: v.transport, Members: a.State().Members, VM: a.VM(), Zone: a.Zone()}
+	v.roster = roster.New(a.VM(), a.Zone(), uint64(inc), v.gossip.Changed)
+	v.gossip.Roster = v.roster
+	v.gossip.Register()
+}
+
+func (v *VM) buildMeter(inc id.Incarnation) {
+	a := v.authority
+	v.meter = &billing.Meter{VM: a.VM(), Incarnation: inc, Committed: a.State().Count, Send: v.sendCounts}
+	a.OnUsage(v.meter.Readings)
+	peer.Handle(v.transport, methodHold, func(_ context.Context, _ id.VM, list []usage.Reading) (bool, error) {
+		v.meter.Hold(list)
+		return true, nil
+	})
+	peer.Handle(v.transport, methodRefuse, func(_ context.Context, _ id.VM, r refusedPrint) (bool, error) {
+		v.refused.Refuse(clock.Boot(), r.Print, r.Hold)
+		return true, nil
+	})
+}
+
+// refusedPrint tells the other VMs of a quarantined request.
+type refusedPrint struct {
+	Print quarantine.Print `cbor:"1,keyasint"`
+	Hold  time.Duration    `cbor:"2,keyasint"`
+}
+
+// buddy returns the VM that keeps copies of this VM's counts: the next one by name in the data centre.
+func (v *VM) buddy() (string, bool) {
+	self := v.authority.VM()
+	var next, first id.VM
+	members := v.authority.State().Members()
+	for vm, m := range members {
+		if vm == self || m.Zone != v.authority.Zone() {
+			continue
+		}
+		if first == "" || vm < first {
+			first = vm
+		}
+		if vm > self && (next == "" || vm < next) {
+			next = vm
+		}
+	}
+	if next == "" {
+		next = first
+	}
+	return members[next].Peer, next != ""
+}
+
+func (v *VM) sendCounts(ctx context.Context, list []usage.Reading) error {
+	to, ok := v.buddy()
+	if !ok {
+		return nil
+	}
+	_, err := peer.Call[bool](ctx, v.transport, to, methodHold, list)
+	return err
+}
+
+// tellRefused tells the VMs of the data centre about a quarantined request.
+func (v *VM) tellRefused(p quarantine.Print, hold time.Duration) {
+	for vm, m := range v.authority.State().Members() {
+		if vm == v.authority.VM() || m.Zone != v.authority.Zone() {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+			defer cancel()
+			if _, err := peer.Call[bool](ctx, v.transport, m.Peer, methodRefuse, refusedPrint{p, hold}); err != nil {
+				klog.InfoS("Quarantine not told", "peer", m.Peer, "err", err)
+			}
+		}()
+	}
+}
+
+func (v *VM) buildLimits() {
+	v.limiter.Drawer = v.authority
+	v.authority.OnDemand(func(now time.Duration) []authority.Demand {
+		var list []authority.Demand
+		v.limiter.Each(func(c id.Customer, b *limit.Bucket) {
+			if !v.authority.Leased(now, v.autonomy(c)) {
+				b.Set(now, limit.Part{}) // the leader may have given this share to others
+			}
+			part, wanted := b.Part(), b.Demand(now)
+			if wanted < leastDemand && part == (limit.Part{}) {
+				return
+			}
+			list = append(list, authority.Demand{Customer: c, Wanted: wanted, Rate: part.Rate, Burst: part.Burst})
+		})
+		return list
+	})
+	v.authority.OnShares(func(list []authority.Share) {
+		now := clock.Boot()
+		for _, s := range list {
+			b := v.limiter.Bucket(s.Customer)
+			b.Set(now, limit.Part{Rate: s.Rate, Burst: s.Burst})
+			b.Give(now, s.Gift)
+		}
+	})
+}
+
+func (v *VM) buildCaller(inc id.Incarnation) {
+	a := v.authority
+	d := &dispatch.Dispatcher{Roster: v.roster, Client: upstream.New(), Quarantine: v.refused, Refused: v.tellRefused}
+	v.caller = &caller.Handler{
+		Config: a.Config,
+		Filters: []pipeline.Filter{
+			pipeline.Authenticate(a), pipeline.Classify(int64(v.cfg.Caller.Body)), pipeline.Limit(v.limiter),
+		},
+		Dispatcher: d, Claims: &pipeline.Claims{Proposer: a, VM: a.VM(), Incarnation: inc},
+		Meter: v.meter, Limiter: v.limiter, Recorder: v, Stopping: &v.stopping, Unhealthy: &v.unhealthy,
+	}
+	v.caller.Register()
+}
+
+// Record keeps what happened to a request, for explaining it and for service levels.
+func (v *VM) Record(c *call.Call, first, end time.Time, err error) {
+	v.journal.Record(c, first, end, err)
+	v.burn.Record(c, first, end, err)
+	outcome := "ok"
+	var r *call.Refusal
+	if errors.As(err, &r) {
+		outcome = string(r.Code)
+	}
+	metrics.GetOrCreateCounter(`wagtaillift_requests_total{service="` + string(c.Service.ID) + `",outcome="` + outcome + `"}`).Inc()
+}
+
+// listen binds the TCP addresses.
+func (v *VM) listen() error {
+	up := &announce.Handler{Config: v.authority.Config, Guard: v.authority, Roster: v.roster, VM: v.authority.VM()}
+	faces := []struct {
+		name, address string
+		h             http.Handler
+	}{
+		{"callers", v.cfg.Listen.Caller, v.caller},
+		{"operators", v.cfg.Listen.Operator, v.operator},
+		{"upstreams", v.cfg.Listen.Upstream, up},
+		{"metrics", v.cfg.Listen.Metrics, v.metrics()},
+	}
+	for _, f := range faces {
+		l, err := net.Listen("tcp", f.address)
+		if err != nil {
+			return errors.Annotatef(err, "listen for %s on %s", f.name, f.address)
+		}
+		v.listeners = append(v.listeners, l)
+		v.servers = append(v.servers, &http.Server{
+			Handler: f.h, ReadHeaderTimeout: v.cfg.Caller.Slow, MaxHeaderBytes: v.cfg.Caller.Header,
+		})
+	}
+	return nil
+}
+
+func (v *VM) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+		v.writeBurn(w)
+		v.writeControl(w)
+	})
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (v *VM) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	failed := make(chan error, len(v.servers)+1)
+	start := func(f func()) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f()
+		}()
+	}
+	start(func() { v.transport.Serve(inner) })
+	start(func() {
+		if err := v.authority.Run(inner); err != nil {
+			failed <- err
+		}
+	})
+	start(func() { v.gossip.Run(inner) })
+	start(func() { v.orders.Run(inner) })
+	for i, s := range v.servers {
+		start(func() {
+			if err := s.Serve(v.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	klog.InfoS("VM started", "vm", v.cfg.VM, "zone", v.cfg.Zone, "caller", v.cfg.Listen.Caller, "peer", v.cfg.PeerAddress())
+	var err error
+	select {
+	case <-ctx.Done():
+		v.drain()
+	case err = <-failed:
+	}
+	cancel()
+	v.close()
+	wg.Wait()
+	return err
+}
+
+// drain fails the health check, then refuses new requests, then waits for the running ones.
+func (v *VM) drain() {
+	v.unhealthy.Store(true)
+	klog.InfoS("VM stopping", "vm", v.cfg.VM, "running", v.caller.Running.Load())
+	time.Sleep(v.cfg.Stop.Lead)
+	v.stopping.Store(true)
+	end := time.Now().Add(v.cfg.Stop.Limit)
+	for v.caller.Running.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(idlePoll)
+	}
+	klog.InfoS("VM drained", "vm", v.cfg.VM, "running", v.caller.Running.Load())
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	v.authority.Flush(ctx)
+	v.authority.Leave(ctx)
+}
+
+func (v *VM) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, s := range v.servers {
+		s.Shutdown(ctx)
+		s.Close()
+	}
+	v.transport.Close()
+}
+
+// Config returns the configuration in force on this VM.
+func (v *VM) Config() *state.Config { return v.authority.Config() }
--- /dev/null
+++ b/internal/services/authority/follow.go
@@ -0,0 +1,282 @@
+package authority
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/peer"
+	"wagtaillift/internal/modules/quorum"
+	"wagtaillift/internal/modules/replica"
+	"wagtaillift/internal/modules/wal"
+)
+
+const (
+	identityFile  = "identity"
+	identityBytes = 8
+	identityPerm  = 0o600
+)
+
+// identity returns the identity of the disk in folder, which is made where missing: a replaced disk has a new one.
+func identity(folder string) (string, error) {
+	path := filepath.Join(folder, identityFile)
+	raw, err := os.ReadFile(path)
+	if err == nil {
+		return strings.TrimSpace(string(raw)), nil
+	}
+	if !os.IsNotExist(err) {
+		return "", errors.Annotate(err, "read disk identity")
+	}
+	if logs, _ := filepath.Glob(filepath.Join(folder, "log", "log-*")); len(logs) > 0 {
+		return "", errors.Errorf("%s is missing beside a log: empty the data folder to rejoin with a new identity", path)
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return "", errors.Annotate(err, "create data folder")
+	}
+	bits := make([]byte, identityBytes)
+	if _, err := rand.Read(bits); err != nil {
+		return "", errors.Annotate(err, "make disk identity")
+	}
+	n := hex.EncodeToString(bits)
+	return n, wal.WriteFile(path, []byte(n+"\n"), identityPerm)
+}
+
+func nodeName(vm id.VM, disk string) quorum.Node { return quorum.Node(string(vm) + "/" + disk) }
+
+func nodeVM(n quorum.Node) id.VM {
+	vm, _, _ := strings.Cut(string(n), "/")
+	return id.VM(vm)
+}
+
+// Found creates the log of a new fleet in folder with this VM as its only voter and commands as its first state.
+func Found(folder string, vm id.VM, commands []state.Command) error {
+	disk, err := identity(folder)
+	if err != nil {
+		return err
+	}
+	log, s, err := wal.Open(filepath.Join(folder, "log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	if s.Snapshot.Index > 0 || len(s.Entries) > 0 || s.Hard.Term > 0 {
+		return errors.AlreadyExistsf("fleet in %s", folder)
+	}
+	m := state.New()
+	for i, c := range commands {
+		data, err := c.Encode()
+		if err != nil {
+			return err
+		}
+		if r := m.Apply(id.Index(i+1), data); r.Code != state.OK {
+			return errors.Errorf("found the fleet: %s", r.Message)
+		}
+	}
+	i, data, err := m.Snapshot()
+	if err != nil {
+		return err
+	}
+	members := quorum.Members{Voters: []quorum.Node{nodeName(vm, disk)}}
+	return log.SaveSnapshot(quorum.Snapshot{Index: quorum.Index(i), Term: 1, Members: members, Data: data}, nil)
+}
+
+// upstream returns the address that this VM's calls towards the leader go to.
+func (a *Authority) upstream() (string, bool) {
+	if a.replica != nil {
+		s := a.replica.Status()
+		if s.Leader != "" && s.Leader != a.node {
+			return a.address(s.Leader)
+		}
+		if s.Leader == "" && s.Members.Has(a.node) {
+			return "", false
+		}
+	}
+	if p := a.uplink.Load(); p != nil {
+		return *p, true
+	}
+	return "", false
+}
+
+// address returns where n listens.
+func (a *Authority) address(n quorum.Node) (string, bool) {
+	if m, ok := a.feed.Members()[nodeVM(n)]; ok {
+		return m.Peer, true
+	}
+	if v, ok := a.addresses.Load(n); ok {
+		return v.(string), true
+	}
+	return "", false
+}
+
+// candidates lists where this VM may attach, best first: its data centre's relay, the control VMs nearest by name
+// order, the seeds.
+func (a *Authority) candidates() []string {
+	var near, control []string
+	members := a.feed.Members()
+	var first id.VM
+	for vm, m := range members {
+		if vm == a.opt.VM {
+			continue
+		}
+		if m.Control {
+			control = append(control, m.Peer)
+			if m.Zone == a.opt.Zone {
+				near = append(near, m.Peer)
+			}
+		}
+		if m.Zone == a.opt.Zone && (first == "" || vm < first) {
+			first = vm
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(control)
+	if len(near) == 0 && first != "" && first < a.opt.VM {
+		near = append(near, members[first].Peer)
+	}
+	list := append(near, control...)
+	for _, s := range a.opt.Seeds {
+		if s != a.opt.Peer && !slices.Contains(list, s) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// follow keeps this VM's state machine in step with its relay.
+func (a *Authority) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		attached := false
+		for _, to := range a.candidates() {
+			if a.followFrom(ctx, to) {
+				attached = true
+				break
+			}
+		}
+		if !attached {
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+// followFrom follows to until a call fails and reports whether any call succeeded.
+func (a *Authority) followFrom(ctx context.Context, to string) bool {
+	worked := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
+		r, err := peer.Call[feedAnswer](call, a.opt.Transport, to, methodFeed, feedRequest{After: a.feed.Index()})
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("Feed ended", "peer", to, "err", err)
+			return worked
+		}
+		if err := a.absorb(r); err != nil {
+			klog.ErrorS(err, "Feed refused", "peer", to)
+			return false
+		}
+		if !worked {
+			klog.InfoS("Feed attached", "peer", to)
+			a.uplink.Store(&to)
+			worked = true
+		}
+		if best := a.candidates(); len(best) > 0 && best[0] != to && a.reachable(ctx, best[0]) {
+			return worked
+		}
+	}
+	return worked
+}
+
+// reachable reports whether the relay at to is up to date with this VM.
+func (a *Authority) reachable(ctx context.Context, to string) bool {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	i, err := peer.Call[freshAnswer](call, a.opt.Transport, to, methodFresh, freshRequest{})
+	return err == nil && i.Index >= a.feed.Index()
+}
+
+func (a *Authority) absorb(r feedAnswer) error {
+	if len(r.Snapshot) > 0 {
+		if err := a.feed.Restore(r.Snapshot); err != nil {
+			return err
+		}
+		a.feed.Publish()
+	}
+	if len(r.Items) == 0 {
+		return nil
+	}
+	before := a.Config().Revision
+	for _, it := range r.Items {
+		if at := a.feed.Index(); it.Index != at+1 {
+			return errors.Errorf("entry %d follows entry %d", it.Index, at)
+		}
+		a.feed.Apply(quorum.Index(it.Index), it.Data)
+	}
+	a.feed.Publish()
+	if a.Config().Revision != before {
+		a.kick()
+	}
+	return nil
+}
+
+// kick makes the next report leave at once.
+func (a *Authority) kick() {
+	select {
+	case a.report <- struct{}{}:
+	default:
+	}
+}
+
+// enroll makes this control VM's disk a member of the log and finds the leader after a start.
+func (a *Authority) enroll(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s := a.replica.Status(); s.Members.Has(a.node) {
+			sleep(ctx, feedWait)
+			continue
+		}
+		for _, to := range a.candidates() {
+			a.uplink.Store(&to)
+			q := enrollment{Node: a.node, Address: a.opt.Peer}
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			_, err := peer.Call[empty](call, a.opt.Transport, to, methodEnroll, q)
+			cancel()
+			if err == nil {
+				klog.InfoS("Disk enrolled", "node", a.node, "peer", to)
+				break
+			}
+			klog.V(1).InfoS("Enrolment failed", "peer", to, "err", err)
+		}
+		sleep(ctx, feedWait)
+	}
+}
+
+// proposalAnswer carries a result together with the errors that callers tell apart.
+type proposalAnswer struct {
+	Result   state.Result `cbor:"1,keyasint"`
+	NoQuorum bool         `cbor:"2,keyasint,omitempty"`
+	Lost     bool         `cbor:"3,keyasint,omitempty"`
+}
+
+// forward passes a proposal on. A call that fails after it was sent leaves the outcome unknown.
+func (a *Authority) forward(ctx context.Context, to string, p proposal) (state.Result, error) {
+	r, err := peer.Call[proposalAnswer](ctx, a.opt.Transport, to, methodPropose, p)
+	switch {
+	case errors.Is(err, peer.ErrUnreached):
+		return state.Result{}, ErrNoQuorum
+	case err != nil:
+		klog.V(1).InfoS("Proposal lost", "peer", to, "err", err)
+		return state.Result{}, replica.ErrLost
+	case r.NoQuorum:
+		return state.Result{}, ErrNoQuorum
+	case r.Lost:
+		return state.Result{}, replica.ErrLost
+	}
+	return r.Result, nil
+}
--- /dev/null
+++ b/internal/services/authority/leader.go
@@ -0,0 +1,389 @@
+package authority
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/lease"
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/quorum"
+	"wagtaillift/internal/modules/replica"
+	"wagtaillift/internal/services/limit"
+)
+
+const (
+	usageEvery = time.Second
+	caughtUp   = 200              // entries a learner may lack when it is promoted
+	spareAfter = 60 * time.Second // absence after which a dead voter gives way to a spare
+	forceCheck = 20 * time.Millisecond
+)
+
+// leader does the duties of the leading VM. Its state is rebuilt from reports after a change of leader.
+type leader struct {
+	a  *Authority
+	mu sync.Mutex
+
+	since    time.Duration // status.Since that the state below belongs to
+	seen     map[id.VM]sighting
+	renewals map[lease.Name]renewal
+	gone     map[id.VM]time.Duration
+	dividers map[id.Customer]*limit.Divider
+	ending   []ending
+	counts   map[usage.Source]usage.Count
+	flushed  time.Duration
+}
+
+// sighting is the latest report of a VM.
+type sighting struct {
+	incarnation id.Incarnation
+	at          time.Duration // leader's clock at receipt
+	sent        time.Duration // VM's clock
+	revision    id.Revision
+}
+
+// renewal is when this VM first saw a lease at a renewal number.
+type renewal struct {
+	fence  id.Fence
+	number uint64
+	at     time.Duration
+}
+
+// ending is a share that returns once its VM's autonomy is over.
+type ending struct {
+	customer id.Customer
+	vm       id.VM
+	at       time.Duration
+}
+
+func newLeader(a *Authority) *leader { return &leader{a: a, renewals: map[lease.Name]renewal{}} }
+
+func (l *leader) run(ctx context.Context) {
+	ticker := time.NewTicker(dutyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := clock.Boot()
+		l.observeLeases(now)
+		if !l.a.Leading(now) {
+			continue
+		}
+		l.duties(ctx, now)
+	}
+}
+
+func (l *leader) duties(ctx context.Context, now time.Duration) {
+	s := l.a.replica.Status()
+	l.mu.Lock()
+	l.reset(s.Since)
+	dead := l.dead(now)
+	stale := l.staleLeases(now)
+	counts := l.takeCounts(now)
+	l.thaw(now)
+	l.mu.Unlock()
+	for _, m := range dead {
+		klog.InfoS("VM lease ended", "vm", m.VM, "incarnation", m.Incarnation)
+		l.propose(ctx, state.Command{Leave: &state.Leave{VM: m.VM, Incarnation: m.Incarnation}})
+	}
+	for _, e := range stale {
+		klog.InfoS("Lease expired", "lease", e.Name, "fence", e.Fence)
+		l.propose(ctx, state.Command{Expire: &e})
+	}
+	if len(counts) > 0 {
+		l.propose(ctx, state.Command{Usage: &state.Usage{Readings: counts}})
+	}
+	l.voters(ctx, now, s)
+}
+
+func (l *leader) propose(ctx context.Context, c state.Command) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := l.a.Propose(ctx, c); err != nil {
+		klog.V(1).InfoS("Duty failed", "err", err)
+	}
+}
+
+// reset forgets what an earlier time as leader knew.
+func (l *leader) reset(since time.Duration) {
+	if l.since == since && l.seen != nil {
+		return
+	}
+	l.since = since
+	l.seen = map[id.VM]sighting{}
+	l.gone = map[id.VM]time.Duration{}
+	l.dividers = map[id.Customer]*limit.Divider{}
+	l.ending = nil
+	l.counts = map[usage.Source]usage.Count{}
+}
+
+// grace returns when every VM lease granted by an earlier leader has ended.
+func (l *leader) grace() time.Duration { return lease.EndedAt(l.since, vmLease) }
+
+// observeLeases notes when this VM first saw each renewal, whether it leads or not.
+func (l *leader) observeLeases(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, g := range l.a.State().Leases() {
+		r, ok := l.renewals[g.Name]
+		if !ok || r.fence != g.Fence || r.number != g.Renewal {
+			l.renewals[g.Name] = renewal{fence: g.Fence, number: g.Renewal, at: now}
+		}
+	}
+}
+
+// staleLeases returns the leases that have surely ended.
+func (l *leader) staleLeases(now time.Duration) []state.Expire {
+	var list []state.Expire
+	for _, g := range l.a.State().Leases() {
+		r, ok := l.renewals[g.Name]
+		if ok && r.fence == g.Fence && r.number == g.Renewal && now > lease.EndedAt(r.at, g.Duration) {
+			list = append(list, state.Expire{Name: g.Name, Fence: g.Fence, Renewal: g.Renewal})
+		}
+	}
+	return list
+}
+
+// dead returns the members whose VM lease has surely ended, and takes back their shares.
+func (l *leader) dead(now time.Duration) []state.Member {
+	var list []state.Member
+	for vm, m := range l.a.feed.Members() {
+		last := l.since
+		if s, ok := l.seen[vm]; ok && s.incarnation >= m.Incarnation {
+			last = s.at
+		}
+		if now > lease.EndedAt(last, vmLease) {
+			list = append(list, m)
+			l.release(vm, now)
+		}
+	}
+	var later []ending
+	for _, e := range l.ending {
+		if now < e.at {
+			later = append(later, e)
+		} else if d := l.dividers[e.customer]; d != nil {
+			d.End(e.vm)
+		}
+	}
+	l.ending = later
+	return list
+}
+
+// release takes back the shares of vm, those of autonomous customers once their autonomy is over.
+func (l *leader) release(vm id.VM, now time.Duration) {
+	cfg := l.a.Config()
+	for c, d := range l.dividers {
+		autonomy := cfg.Seconds(policy.Autonomy, c, "")
+		if autonomy == 0 {
+			d.End(vm)
+			continue
+		}
+		l.ending = append(l.ending, ending{customer: c, vm: vm, at: now + lease.EndedAt(0, autonomy)})
+	}
+	delete(l.seen, vm)
+	if _, ok := l.gone[vm]; !ok {
+		l.gone[vm] = now
+	}
+}
+
+// thaw lets dividers grow shares once no unknown VM can hold one.
+func (l *leader) thaw(now time.Duration) {
+	cfg := l.a.Config()
+	for c, d := range l.dividers {
+		d.Limit(l.limitOf(cfg, c))
+		autonomy := cfg.Seconds(policy.Autonomy, c, "")
+		known := autonomy == 0 && l.allSeen()
+		if d.Frozen && (known || now > l.grace()+lease.EndedAt(0, autonomy)) {
+			d.Thaw(now)
+		}
+		d.Tick(now)
+	}
+}
+
+// allSeen reports whether every member has reported to this leader. Then no unknown VM holds a share: a VM is removed
+// from the members only after its lease has ended.
+func (l *leader) allSeen() bool {
+	for vm, m := range l.a.feed.Members() {
+		if s, ok := l.seen[vm]; !ok || s.incarnation != m.Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *leader) limitOf(cfg *state.Config, c id.Customer) limit.Part {
+	return limit.Part{Rate: cfg.Resolve(policy.Rate, c, "").Value, Burst: cfg.Resolve(policy.Burst, c, "").Value}
+}
+
+func (l *leader) divider(c id.Customer) *limit.Divider {
+	d, ok := l.dividers[c]
+	if !ok {
+		d = &limit.Divider{Frozen: true}
+		d.Limit(l.limitOf(l.a.Config(), c))
+		l.dividers[c] = d
+	}
+	return d
+}
+
+// grant answers reports with VM leases and shares.
+func (l *leader) grant(now time.Duration, list []Report) grants {
+	s := l.a.replica.Status()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reset(s.Since)
+	var out grants
+	members := l.a.feed.Members()
+	for _, r := range list {
+		out.List = append(out.List, l.grantOne(now, members, r))
+	}
+	return out
+}
+
+func (l *leader) grantOne(now time.Duration, members map[id.VM]state.Member, r Report) Grant {
+	g := Grant{VM: r.VM, Sent: r.Sent}
+	for _, u := range r.Usage {
+		l.counts[u.Source] = l.counts[u.Source].Merge(u.Count)
+	}
+	m, ok := members[r.VM]
+	if !ok || m.Incarnation != r.Incarnation {
+		g.Rejoin = !ok || m.Incarnation < r.Incarnation
+		return g
+	}
+	if old, ok := l.seen[r.VM]; ok && old.incarnation == r.Incarnation && r.Sent <= old.sent {
+		return g // a delayed report must not undo what a later one has acknowledged
+	}
+	l.seen[r.VM] = sighting{incarnation: r.Incarnation, at: now, sent: r.Sent, revision: r.Revision}
+	delete(l.gone, r.VM)
+	l.ending = slices.DeleteFunc(l.ending, func(e ending) bool { return e.vm == r.VM })
+	g.Duration, g.Revision, g.Index = vmLease, l.a.Config().Revision, l.a.feed.Index()
+	for _, d := range r.Demands {
+		div := l.divider(d.Customer)
+		div.Report(r.VM, limit.Held{Wanted: d.Wanted, Part: limit.Part{Rate: d.Rate, Burst: d.Burst}})
+		part, gift := div.Share(now, r.VM)
+		g.Shares = append(g.Shares, Share{Customer: d.Customer, Rate: part.Rate, Burst: part.Burst, Gift: gift})
+	}
+	return g
+}
+
+func (l *leader) draw(now time.Duration, q drawRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dividers == nil {
+		return false
+	}
+	return l.divider(q.Customer).Draw(now, q.Tokens)
+}
+
+// takeCounts returns the usage gathered since the last time, once a usageEvery.
+func (l *leader) takeCounts(now time.Duration) []usage.Reading {
+	if now-l.flushed < usageEvery {
+		return nil
+	}
+	l.flushed = now
+	var list []usage.Reading
+	for src, c := range l.counts {
+		list = append(list, usage.Reading{Source: src, Count: c})
+	}
+	clear(l.counts)
+	return list
+}
+
+// force waits for every member to have applied a revision.
+func (l *leader) force(ctx context.Context, q forceRequest) Force {
+	end := time.Now().Add(q.Wait)
+	for {
+		f := l.forceNow(q.Revision)
+		if len(f.Pending) == 0 || ctx.Err() != nil || !time.Now().Before(end) {
+			return f
+		}
+		sleep(ctx, forceCheck)
+	}
+}
+
+func (l *leader) forceNow(r id.Revision) Force {
+	members := l.a.feed.Members()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := Force{Applied: map[id.VM]id.Revision{}}
+	for _, vm := range slices.Sorted(maps.Keys(members)) {
+		at := l.seen[vm].revision
+		if vm == l.a.opt.VM {
+			at = l.a.Config().Revision
+		}
+		f.Applied[vm] = at
+		if at < r {
+			f.Pending = append(f.Pending, vm)
+		}
+	}
+	return f
+}
+
+// voters makes one step towards the wanted voters: a replaced disk takes its VM's place, learners that have caught
+// up are promoted, a voter absent for long gives way to a spare.
+func (l *leader) voters(ctx context.Context, now time.Duration, s replica.Status) {
+	next, ok := l.nextMembers(now, s)
+	if !ok {
+		return
+	}
+	if err := l.a.replica.ProposeMembers(ctx, next); err == nil {
+		klog.InfoS("Voters change", "voters", next.Voters, "learners", next.Learners)
+	}
+}
+
+func (l *leader) nextMembers(now time.Duration, s replica.Status) (quorum.Members, bool) {
+	for _, n := range s.Members.Learners {
+		if s.Matches[n]+caughtUp < s.Commit {
+			continue
+		}
+		if old, ok := sameVM(s.Members.Voters, n); ok {
+			return s.Members.Without(old), true
+		}
+		if len(s.Members.Voters) < l.a.opt.Voters {
+			return s.Members.With(n, true), true
+		}
+		if dead, ok := l.absent(now, s.Members.Voters); ok {
+			return s.Members.Without(dead), true
+		}
+	}
+	return s.Members, false
+}
+
+func sameVM(list []quorum.Node, n quorum.Node) (quorum.Node, bool) {
+	for _, x := range list {
+		if nodeVM(x) == nodeVM(n) {
+			return x, true
+		}
+	}
+	return "", false
+}
+
+// absent returns a voter whose VM has been no member for spareAfter.
+func (l *leader) absent(now time.Duration, voters []quorum.Node) (quorum.Node, bool) {
+	members := l.a.feed.Members()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range voters {
+		vm := nodeVM(n)
+		if _, ok := members[vm]; ok {
+			continue
+		}
+		since, ok := l.gone[vm]
+		if !ok {
+			l.gone[vm] = now
+		} else if now-since > spareAfter {
+			return n, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/services/dispatch/dispatch.go
@@ -0,0 +1,172 @@
+// Package dispatch sends calls to upstreams, relays the answers, and resumes or retries what fails where that is safe.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/upstream"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/quarantine"
+	"wagtaillift/internal/services/roster"
+	"wagtaillift/internal/services/route"
+)
+
+const (
+	step          = "dispatch"
+	maxAttempts   = 5
+	headerRequest = "Wagtaillift-Request"
+	headerLoad    = "Wagtaillift-Load"
+	roomPoll      = 5 * time.Millisecond
+	retryAfter    = time.Second
+	backlog       = 0.5 // most load queued at an engine, as a multiple of its memory
+	probeTimeout  = 300 * time.Millisecond
+	tokenTimeout  = 5 * time.Second // silence inside a stream before it is resumed elsewhere
+	budgetBurst   = 20              // retries a customer and service may make at once
+)
+
+// Dispatcher sends calls to upstreams.
+type Dispatcher struct {
+	Roster     *roster.Roster
+	Client     *upstream.Client
+	Quarantine *quarantine.List
+	// Refused is called when a request was quarantined here, to tell the other VMs.
+	Refused func(p quarantine.Print, hold time.Duration)
+	// Pick chooses the upstream; nil means route.Pick.
+	Pick func(now time.Duration, list []*roster.Upstream, q *route.Query) route.Choice
+
+	budgets sync.Map // budgetKey to *budget
+}
+
+type budgetKey struct {
+	customer id.Customer
+	service  id.Service
+}
+
+// pick chooses an upstream among list, waiting a little for room.
+func (d *Dispatcher) pick(ctx context.Context, c *call.Call, list func() []*roster.Upstream, q *route.Query) (route.Choice, error) {
+	f := d.Pick
+	if f == nil {
+		f = route.Pick
+	}
+	end := clock.Boot() + c.Config.Seconds(policy.Wait, c.Customer, c.Service.ID)
+	for {
+		now := clock.Boot()
+		ch := f(now, list(), q)
+		if ch.Upstream != nil {
+			return ch, nil
+		}
+		if now >= end || ctx.Err() != nil {
+			return ch, refusePick(c, ch)
+		}
+		t := time.NewTimer(roomPoll)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+func refusePick(c *call.Call, ch route.Choice) error {
+	if ch.Rule == route.Full {
+		return call.Refuse(http.StatusServiceUnavailable, call.Busy, step,
+			"every upstream of %s is full", c.Service.ID).After(retryAfter)
+	}
+	return call.Refuse(http.StatusServiceUnavailable, call.NoUpstream, step,
+		"no upstream of %s is ready", c.Service.ID).After(retryAfter)
+}
+
+// query builds what the choice needs from c.
+func (d *Dispatcher) query(c *call.Call, pieces int64, p quarantine.Print, tried map[id.Upstream]bool) *route.Query {
+	q := &route.Query{
+		Pieces:  pieces,
+		Bound:   c.Config.Resolve(policy.Affinity, c.Customer, c.Service.ID).Value,
+		Backlog: backlog,
+		Cheap:   c.Config.Resolve(policy.Cheap, c.Customer, c.Service.ID).Value,
+		Draw:    rand.Float64(),
+	}
+	if n := len(c.Prefix); n > 0 {
+		q.Prefix = c.Prefix[min(n-1, prefixBlocks-1)]
+	}
+	suspect := d.Quarantine.Suspect(clock.Boot(), p)
+	if suspect || len(tried) > 0 {
+		q.Avoid = func(u *roster.Upstream) bool {
+			return tried[u.Name] || suspect && d.Quarantine.Busy(u.Name)
+		}
+	}
+	return q
+}
+
+// prefixBlocks is how many leading blocks decide a prompt's place.
+const prefixBlocks = 4
+
+// enter counts c's work at u and returns the function that takes it back.
+func (d *Dispatcher) enter(u *roster.Upstream, pieces int64) func() {
+	u.Work.Requests.Add(1)
+	u.Work.Pieces.Add(pieces)
+	return func() {
+		u.Work.Requests.Add(-1)
+		u.Work.Pieces.Add(-pieces)
+	}
+}
+
+// crashed reports whether the upstream's process is gone: it refuses connections, or answers as another incarnation.
+func (d *Dispatcher) crashed(u *roster.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+"/health", nil)
+	if err != nil {
+		return false
+	}
+	resp, _, err := d.Client.Do(r)
+	if err != nil {
+		return refusedConn(err)
+	}
+	defer resp.Body.Close()
+	return resp.Header.Get(headerIncarnation) != incarnationOf(u.Announcement)
+}
+
+func refusedConn(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &op) && op.Op == "dial" && !op.Timeout()
+}
+
+// allowRetry takes one retry from the budget of c's customer and service.
+func (d *Dispatcher) allowRetry(c *call.Call) bool {
+	return d.budget(c).spend()
+}
+
+func (d *Dispatcher) budget(c *call.Call) *budget {
+	k := budgetKey{c.Customer, c.Service.ID}
+	if b, ok := d.budgets.Load(k); ok {
+		return b.(*budget)
+	}
+	b, _ := d.budgets.LoadOrStore(k, newBudget())
+	return b.(*budget)
+}
+
+// note records an attempt for explaining the decision.
+func note(c *call.Call, ch route.Choice, err error) {
+	a := call.Attempt{Upstream: ch.Upstream.Name, Rule: string(ch.Rule), Load: ch.Load}
+	if err != nil {
+		a.Error = err.Error()
+		klog.InfoS("Attempt failed", "request", c.ID, "step", step, "upstream", ch.Upstream.Name, "address", ch.Upstream.Address, "err", err)
+	}
+	c.Trail = append(c.Trail, a)
+}
+
+// modelPieces is the KV memory that c needs.
+func modelPieces(c *call.Call) int64 { return engine.Pieces(c.Prompt + c.Output) }
--- /dev/null
+++ b/internal/services/limit/bucket.go
@@ -0,0 +1,125 @@
+package limit
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// demandMemory is the time constant of the demand estimate.
+const demandMemory = 2 * time.Second
+
+// Bucket admits tokens on one VM inside its share. It takes no lock; the zero value admits nothing.
+type Bucket struct {
+	p      atomic.Pointer[fill]
+	asked  atomic.Int64 // tokens asked for since the last Demand
+	demand atomic.Uint64
+	seen   atomic.Int64
+}
+
+// fill is an immutable state of a bucket.
+type fill struct {
+	level float64
+	at    time.Duration
+	part  Part
+}
+
+// at returns f with the tokens that have flowed in by now.
+func (f fill) flow(now time.Duration) fill {
+	if now > f.at {
+		f.level = min(f.part.Burst, f.level+f.part.Rate*(now-f.at).Seconds())
+		f.at = now
+	}
+	return f
+}
+
+func (b *Bucket) load() fill {
+	if p := b.p.Load(); p != nil {
+		return *p
+	}
+	return fill{}
+}
+
+// update replaces the state by f of it, unless f refuses.
+func (b *Bucket) update(f func(fill) (fill, bool)) bool {
+	for {
+		old := b.p.Load()
+		var cur fill
+		if old != nil {
+			cur = *old
+		}
+		next, ok := f(cur)
+		if !ok {
+			return false
+		}
+		if b.p.CompareAndSwap(old, &next) {
+			return true
+		}
+	}
+}
+
+// Set changes the share. More burst brings no tokens of its own; less burst drops those beyond it.
+func (b *Bucket) Set(now time.Duration, part Part) {
+	b.update(func(f fill) (fill, bool) {
+		f = f.flow(now)
+		f.at = max(f.at, now)
+		f.part = part
+		f.level = min(f.level, part.Burst)
+		return f, true
+	})
+}
+
+// Part returns the share in force.
+func (b *Bucket) Part() Part { return b.load().part }
+
+// Ask counts n tokens as demand.
+func (b *Bucket) Ask(n float64) { b.asked.Add(int64(n)) }
+
+// Take admits n tokens at now where they are there.
+func (b *Bucket) Take(now time.Duration, n float64) bool {
+	return b.update(func(f fill) (fill, bool) {
+		f = f.flow(now)
+		if f.level < n {
+			return f, false
+		}
+		f.level -= n
+		return f, true
+	})
+}
+
+// Give returns n tokens that were admitted and not used.
+func (b *Bucket) Give(now time.Duration, n float64) {
+	b.update(func(f fill) (fill, bool) {
+		f = f.flow(now)
+		f.level = min(f.part.Burst, f.level+n)
+		return f, true
+	})
+}
+
+// Wait returns how long until n tokens will be there; ok is false where they never will.
+func (b *Bucket) Wait(now time.Duration, n float64) (d time.Duration, ok bool) {
+	f := b.load().flow(now)
+	if n > f.part.Burst || f.part.Rate <= 0 && n > f.level {
+		return 0, false
+	}
+	if n <= f.level {
+		return 0, true
+	}
+	return time.Duration((n - f.level) / f.part.Rate * float64(time.Second)), true
+}
+
+// Demand returns the tokens a second asked for lately, a moving average.
+func (b *Bucket) Demand(now time.Duration) float64 {
+	last := time.Duration(b.seen.Swap(int64(now)))
+	n := float64(b.asked.Swap(0))
+	old := math.Float64frombits(b.demand.Load())
+	dt := (now - last).Seconds()
+	if last == 0 || dt <= 0 {
+		b.asked.Add(int64(n))
+		return old
+	}
+	keep := math.Exp(-dt / demandMemory.Seconds())
+	rate := old*keep + n/dt*(1-keep)
+	b.demand.Store(math.Float64bits(rate))
+	return rate
+}
--- /dev/null
+++ b/internal/services/limit/limiter.go
@@ -0,0 +1,114 @@
+package limit
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/call"
+)
+
+const (
+	step        = "limit"
+	leastRetry  = 50 * time.Millisecond
+	drawBackoff = 100 * time.Millisecond
+)
+
+// Drawer takes tokens from a customer's undivided rest.
+type Drawer interface {
+	Draw(ctx context.Context, c id.Customer, tokens float64) bool
+}
+
+// Limiter holds this VM's buckets. The path of a request takes no lock.
+type Limiter struct {
+	buckets sync.Map // id.Customer to *Bucket
+	Drawer  Drawer
+}
+
+// Bucket returns the bucket of c.
+func (l *Limiter) Bucket(c id.Customer) *Bucket {
+	if b, ok := l.buckets.Load(c); ok {
+		return b.(*Bucket)
+	}
+	b, _ := l.buckets.LoadOrStore(c, &Bucket{})
+	return b.(*Bucket)
+}
+
+// Each calls f for every bucket.
+func (l *Limiter) Each(f func(c id.Customer, b *Bucket)) {
+	l.buckets.Range(func(k, v any) bool {
+		f(k.(id.Customer), v.(*Bucket))
+		return true
+	})
+}
+
+// Reserve takes what c may need from its customer's rate. It waits a little where that is enough, draws what is too
+// big for this VM's share from the undivided rest, and else refuses with the time to come back.
+func (l *Limiter) Reserve(ctx context.Context, now func() time.Duration, c *call.Call) error {
+	need := float64(c.Prompt + c.Output)
+	total := c.Config.Resolve(policy.Burst, c.Customer, "").Value
+	if need > total {
+		r := call.Refuse(http.StatusRequestEntityTooLarge, call.OverBurst, step,
+			"the request may need %.0f tokens and the customer's burst is %.0f", need, total)
+		return r
+	}
+	b := l.Bucket(c.Customer)
+	b.Ask(need)
+	longest := c.Config.Seconds(policy.Wait, c.Customer, c.Service.ID)
+	end := now() + longest
+	for {
+		at := now()
+		if b.Take(at, need) {
+			c.Reserved = c.Prompt + c.Output
+			return nil
+		}
+		wait, possible := b.Wait(at, need)
+		if !possible || at+wait > end {
+			if l.Drawer != nil && l.Drawer.Draw(ctx, c.Customer, need) {
+				c.Reserved = c.Prompt + c.Output
+				return nil
+			}
+		}
+		if !possible {
+			wait = min(drawBackoff, max(end-at, 0))
+		}
+		if at+max(wait, time.Millisecond) > end {
+			return refuse(c, b, now(), need)
+		}
+		if err := pause(ctx, max(wait, time.Millisecond)); err != nil {
+			return refuse(c, b, now(), need)
+		}
+	}
+}
+
+func refuse(c *call.Call, b *Bucket, now time.Duration, need float64) error {
+	rate := c.Config.Resolve(policy.Rate, c.Customer, "").Value
+	wait, ok := b.Wait(now, need)
+	if !ok && rate > 0 {
+		wait = time.Duration(need / rate * float64(time.Second))
+	}
+	return call.Refuse(http.StatusTooManyRequests, call.OverRate, step,
+		"customer %s is over its rate of %.0f tokens/s", c.Customer, rate).After(max(wait, leastRetry))
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Return gives back what c reserved and did not use.
+func (l *Limiter) Return(now time.Duration, c *call.Call) {
+	if unused := c.Reserved - c.Used.Prompt - c.Used.Output; unused > 0 {
+		l.Bucket(c.Customer).Give(now, float64(unused))
+	}
+	c.Reserved = 0
+}
--- /dev/null
+++ b/internal/services/order/send.go
@@ -0,0 +1,155 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"wagtaillift/internal/models/order"
+	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/id"
+)
+
+const (
+	headerFence = "Wagtaillift-Fence"
+	// lingerBound is the longest the kernel keeps trying to deliver bytes of a closed connection.
+	lingerBound = 1500 * time.Millisecond
+	maxReply    = 1 << 20
+)
+
+var (
+	errNotSent = errors.New("the lease or the time left is too short")
+	errRefused = errors.New("the peer refused")
+)
+
+// sender writes orders on connections of their own, which the kernel may not keep delivering on after they are given
+// up: unacknowledged bytes are dropped after lingerBound and closing resets the connection.
+type sender struct {
+	client *http.Client
+}
+
+// guarded asks for leave right before each write.
+type guarded struct {
+	net.Conn
+	check func() bool
+}
+
+// Write writes p where the check still holds.
+func (g *guarded) Write(p []byte) (int, error) {
+	if !g.check() {
+		return 0, errNotSent
+	}
+	return g.Conn.Write(p)
+}
+
+type checkKey struct{}
+
+func newSender() *sender {
+	d := &net.Dialer{Timeout: sendTimeout, Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		cerr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(lingerBound.Milliseconds()))
+		})
+		if cerr != nil {
+			return cerr
+		}
+		return err
+	}}
+	t := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, errors.Wrap(err, errNotSent)
+			}
+			if tcp, ok := c.(*net.TCPConn); ok {
+				tcp.SetLinger(0)
+			}
+			check, ok := ctx.Value(checkKey{}).(func() bool)
+			if !ok {
+				return c, nil
+			}
+			return &guarded{Conn: c, check: check}, nil
+		},
+	}
+	return &sender{client: &http.Client{Transport: t, Timeout: sendTimeout}}
+}
+
+// post sends v as JSON where check holds at the moment of writing.
+func (s *sender) post(ctx context.Context, url string, fence id.Fence, v any, check func() bool) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Annotate(err, "encode")
+	}
+	if !check() {
+		return errNotSent
+	}
+	ctx = context.WithValue(ctx, checkKey{}, check)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return errors.Annotatef(err, "build request to %s", url)
+	}
+	r.GetBody = nil
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(headerFence, strconv.FormatUint(uint64(fence), 10))
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return errors.Annotatef(err, "post to %s", url)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if resp.StatusCode/100 != 2 {
+		return errors.Wrap(errors.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)), errRefused)
+	}
+	return nil
+}
+
+// message is the JSON form of an order.
+type message struct {
+	ID     id.Index   `json:"id"`
+	Kind   order.Kind `json:"kind"`
+	Value  string     `json:"value"`
+	Fence  id.Fence   `json:"fence"`
+	Reason string     `json:"reason,omitempty"`
+}
+
+func (s *sender) order(ctx context.Context, address string, o order.Order, check func() bool) error {
+	m := message{ID: o.ID, Kind: o.Kind, Value: o.Value, Fence: o.Fence, Reason: o.Reason}
+	return s.post(ctx, "http://"+address+"/v1/orders", o.Fence, m, check)
+}
+
+// engineState is what an engine tells about the orders it took.
+type engineState struct {
+	Order id.Index `json:"order"` // the last one taken
+	Role  string   `json:"role"`
+}
+
+func (s *sender) readBack(ctx context.Context, address string) (engineState, error) {
+	var st engineState
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/state", nil)
+	if err != nil {
+		return st, errors.Annotatef(err, "build request to %s", address)
+	}
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return st, errors.Annotatef(err, "read state of upstream %s", address)
+	}
+	defer resp.Body.Close()
+	return st, errors.Annotatef(json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(&st), "state of upstream %s", address)
+}
+
+// report is the JSON form of a usage report.
+type report struct {
+	Window id.Window    `json:"window"`
+	Fence  id.Fence     `json:"fence"`
+	Lines  []usage.Line `json:"lines"`
+}
--- /dev/null
+++ b/internal/services/pipeline/pipeline.go
@@ -0,0 +1,222 @@
+// Package pipeline is the way of a request through the filters. Each filter does one job and reads the immutable
+// configuration that the call carries.
+package pipeline
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/call"
+)
+
+// Filter does one job on a call. An error ends the way.
+type Filter func(ctx context.Context, c *call.Call) error
+
+// Run sends c through filters in order.
+func Run(ctx context.Context, c *call.Call, filters ...Filter) error {
+	for _, f := range filters {
+		if err := f(ctx, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Guard is what authentication needs to know of this VM.
+type Guard interface {
+	Leased(now, autonomy time.Duration) bool
+	Withdrawn(n id.Key) bool
+}
+
+// Authenticate finds the customer of the caller's key. Open services need none.
+func Authenticate(g Guard) Filter {
+	return func(_ context.Context, c *call.Call) error {
+		secret, given := bearer(c.R)
+		if !given {
+			return nil
+		}
+		k, ok := Verify(c.Config, g, secret, c.Start)
+		if !ok {
+			return call.Refuse(http.StatusUnauthorized, call.BadKey, "authenticate", "the key is unknown, expired or withdrawn")
+		}
+		if k.Role != key.Caller {
+			return call.Refuse(http.StatusForbidden, call.Forbidden, "authenticate", "the key is not a caller's")
+		}
+		if c.Config.Customers[k.Customer].Frozen {
+			return call.Refuse(http.StatusForbidden, call.Forbidden, "authenticate", "the customer is frozen")
+		}
+		c.Key, c.Customer = k.ID, k.Customer
+		autonomy := c.Config.Seconds(policy.Autonomy, k.Customer, "")
+		if !g.Leased(c.Booted, autonomy) {
+			return call.Refuse(http.StatusServiceUnavailable, call.NoLease, "authenticate",
+				"this VM is cut off and may not check keys").After(time.Second)
+		}
+		return nil
+	}
+}
+
+// Verify returns the live key that secret belongs to.
+func Verify(cfg *state.Config, g Guard, secret string, now time.Time) (key.Key, bool) {
+	n, ok := key.Parse(secret)
+	if !ok {
+		return key.Key{}, false
+	}
+	k, ok := cfg.Keys[n]
+	same := subtle.ConstantTimeCompare([]byte(k.Hash), []byte(key.Hash(secret))) == 1
+	return k, ok && same && k.Live(now) && !g.Withdrawn(n)
+}
+
+// bearer returns the key of r.
+func bearer(r *http.Request) (string, bool) {
+	v := r.Header.Get("Authorization")
+	if v == "" {
+		return "", false
+	}
+	scheme, secret, _ := strings.Cut(v, " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return "", true
+	}
+	return strings.TrimSpace(secret), true
+}
+
+// Classify reads the request: service, body, size and deadline.
+func Classify(maxBody int64) Filter {
+	return func(_ context.Context, c *call.Call) error {
+		if c.Kind == call.Plain {
+			return classifyPlain(c)
+		}
+		return classifyModel(c, maxBody)
+	}
+}
+
+func classifyModel(c *call.Call, maxBody int64) error {
+	data, err := readBody(c, maxBody)
+	if err != nil {
+		return err
+	}
+	c.Body = data
+	c.Model, err = call.ParseBody(data, c.Kind == call.Chat)
+	if err != nil {
+		return call.Refuse(http.StatusBadRequest, call.BadRequest, "classify", "%s", err)
+	}
+	svc, ok := c.Config.Services[id.Service(c.Model.Model)]
+	if !ok || svc.Kind != service.Model {
+		return call.Refuse(http.StatusNotFound, call.NoService, "classify", "no model %q", c.Model.Model)
+	}
+	c.Service, c.Idempotent = svc, true
+	text := c.Model.Text()
+	c.Prompt = call.EstimateTokens(text)
+	c.Prefix = call.Blocks(text)
+	c.Output = c.Model.OutputLimit(id.Tokens(c.Config.Resolve(policy.Output, c.Customer, svc.ID).Value))
+	c.Stream = c.Model.Stream
+	return finish(c)
+}
+
+// readBody reads a whole body of at most maxBody bytes.
+func readBody(c *call.Call, maxBody int64) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.W, c.R.Body, maxBody))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, call.Refuse(http.StatusRequestEntityTooLarge, call.TooLarge, "classify", "the body is larger than %d bytes", maxBody)
+	case err != nil:
+		return nil, call.Refuse(http.StatusBadRequest, call.Truncated, "classify", "the body ended early: %s", err)
+	}
+	return data, nil
+}
+
+// replayBody is the largest body of a plain call that is kept for a retry or compared with a claim.
+const replayBody = 1 << 20
+
+// PlainTokens is what a plain call counts against its customer's rate.
+const PlainTokens = 1
+
+func classifyPlain(c *call.Call) error {
+	svc, ok := c.Config.Services[c.Service.ID]
+	if !ok || svc.Kind != service.Plain {
+		return call.Refuse(http.StatusNotFound, call.NoService, "classify", "no service %q", c.Service.ID)
+	}
+	c.Service = svc
+	c.Prompt = PlainTokens
+	c.Idempotent = svc.Repeatable || safeMethod(c.R.Method)
+	c.Token = c.R.Header.Get("Idempotency-Key")
+	if len(c.Token) > 255 {
+		return call.Refuse(http.StatusBadRequest, call.BadRequest, "classify", "the Idempotency-Key is longer than 255 bytes")
+	}
+	claimed := c.Token != "" && !c.Idempotent
+	if n := c.R.ContentLength; claimed || n >= 0 && n <= replayBody {
+		data, err := readBody(c, replayBody)
+		if err != nil {
+			return err
+		}
+		c.Body = data
+	}
+	return finish(c)
+}
+
+// safeMethod reports whether HTTP declares m idempotent (RFC 9110, section 9.2.2).
+func safeMethod(m string) bool {
+	switch m {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// finish checks that the customer may call the service and sets the deadline.
+func finish(c *call.Call) error {
+	if c.Customer == "" && !c.Service.Open {
+		r := call.Refuse(http.StatusUnauthorized, call.NoKey, "classify", "service %q needs a key", c.Service.ID)
+		return r
+	}
+	if c.Customer != "" && !c.Service.Allows(c.Customer) {
+		return call.Refuse(http.StatusForbidden, call.Forbidden, "classify", "customer %q may not call %q", c.Customer, c.Service.ID)
+	}
+	d := c.Config.Seconds(policy.Deadline, c.Customer, c.Service.ID)
+	if v := c.R.Header.Get("Wagtaillift-Deadline"); v != "" {
+		asked, err := time.ParseDuration(v)
+		if err != nil || asked <= 0 {
+			return call.Refuse(http.StatusBadRequest, call.BadRequest, "classify", "Wagtaillift-Deadline %q is not a positive duration such as 2.5s", v)
+		}
+		d = min(d, asked)
+	}
+	c.Deadline = c.Start.Add(d)
+	return nil
+}
+
+// Reserver takes tokens from a customer's rate.
+type Reserver interface {
+	Reserve(ctx context.Context, now func() time.Duration, c *call.Call) error
+}
+
+// Limit keeps the customer inside its rate and burst. Calls without a customer are not limited by customer.
+func Limit(l Reserver) Filter {
+	return func(ctx context.Context, c *call.Call) error {
+		if c.Customer == "" {
+			return nil
+		}
+		return l.Reserve(ctx, clock.Boot, c)
+	}
+}
+
+// Digest identifies what a claimed call asks for.
+func Digest(c *call.Call) string {
+	h := sha256.New()
+	io.WriteString(h, c.R.Method+" "+c.Path+"?"+c.R.URL.RawQuery+"\n")
+	h.Write(c.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/services/roster/roster.go
@@ -0,0 +1,315 @@
+// Package roster knows the upstreams of this VM's data centre: those that announce themselves here, and those that
+// announce themselves to other VMs of the data centre, which vouch for them.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/modules/hash"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/rcu"
+)
+
+const (
+	// Silence is how long an upstream may be silent before it gets no new work.
+	Silence = 2 * time.Second
+	// Vouching is how long a VM's word for its upstreams holds.
+	Vouching    = 2500 * time.Millisecond
+	crashMemory = 10 * time.Second
+)
+
+// Upstream is one known upstream. The announcement is immutable; Work is shared by all snapshots.
+type Upstream struct {
+	engine.Announcement
+	Work *Work
+	Hash uint64
+}
+
+// Work is this VM's view of an upstream's load. It takes no lock.
+type Work struct {
+	Requests atomic.Int64 // in flight from this VM
+	Pieces   atomic.Int64 // KV pieces in flight from this VM
+	others   atomic.Int64 // pieces in flight from other VMs, by the last report
+	reported atomic.Int64 // when, by the VM's clock in nanoseconds
+	failures atomic.Int64 // consecutive
+	openTill atomic.Int64 // circuit, by the VM's clock in nanoseconds
+	Suspects rcu.Value[map[uint64]int]
+}
+
+const (
+	loadMemory   = 3 * time.Second // a report older than this counts half
+	circuitAfter = 3               // consecutive failures
+	circuitOpen  = 2 * time.Second
+)
+
+// Report takes the upstream's own view: what it holds beyond this VM's work is other VMs' work.
+func (w *Work) Report(now time.Duration, l engine.Load) {
+	w.others.Store(max(0, l.Pieces-w.Pieces.Load()))
+	w.reported.Store(int64(now))
+}
+
+// Load returns the estimated pieces in use at now: this VM's own and the aged rest.
+func (w *Work) Load(now time.Duration) int64 {
+	others := w.others.Load()
+	if age := now - time.Duration(w.reported.Load()); age > loadMemory {
+		others /= 2
+	}
+	return w.Pieces.Load() + others
+}
+
+// Open reports whether the circuit is open at now.
+func (w *Work) Open(now time.Duration) bool { return int64(now) < w.openTill.Load() }
+
+// Succeed closes the circuit.
+func (w *Work) Succeed() { w.failures.Store(0) }
+
+// Fail counts a failure and opens the circuit after several in a row.
+func (w *Work) Fail(now time.Duration) {
+	if w.failures.Add(1) >= circuitAfter {
+		w.openTill.Store(int64(now + circuitOpen))
+		w.failures.Store(0)
+	}
+}
+
+// Snapshot is the upstreams that take new work. It is immutable.
+type Snapshot struct {
+	Models   map[id.Model][]*Upstream
+	Services map[id.Service][]*Upstream
+	All      []*Upstream
+}
+
+// Vouch is what a VM tells the others of its data centre about the upstreams that announce themselves to it.
+type Vouch struct {
+	VM      id.VM                 `cbor:"1,keyasint"`
+	Epoch   uint64                `cbor:"2,keyasint"` // incarnation of the VM
+	Version uint64                `cbor:"3,keyasint"`
+	List    []engine.Announcement `cbor:"4,keyasint,omitempty"` // complete, where the receiver lacks Version
+	Full    bool                  `cbor:"5,keyasint,omitempty"`
+}
+
+// source is one VM's list, or this VM's own.
+type source struct {
+	epoch   uint64
+	version uint64
+	at      time.Duration
+	list    map[id.Upstream]*heard
+}
+
+type heard struct {
+	announcement engine.Announcement
+	at           time.Duration
+}
+
+// Roster is safe for concurrent use; Snapshot takes no lock.
+type Roster struct {
+	vm      id.VM
+	zone    id.Zone
+	mu      sync.Mutex
+	own     source
+	peers   map[id.VM]*source
+	work    map[id.Upstream]*Work
+	gone    map[id.Upstream]gone
+	current rcu.Value[*Snapshot]
+	changed func()
+}
+
+// gone remembers an upstream's end, so that an older announcement does not bring it back.
+type gone struct {
+	incarnation uint64
+	at          time.Duration
+}
+
+// New returns an empty roster. Changed is called, without the lock, after this VM's own list changed.
+func New(vm id.VM, zone id.Zone, epoch uint64, changed func()) *Roster {
+	r := &Roster{
+		vm: vm, zone: zone, changed: changed,
+		own:   source{epoch: epoch, version: 1, list: map[id.Upstream]*heard{}},
+		peers: map[id.VM]*source{},
+		work:  map[id.Upstream]*Work{},
+		gone:  map[id.Upstream]gone{},
+	}
+	r.current.Store(&Snapshot{})
+	return r
+}
+
+// Snapshot returns the upstreams that take new work. It takes no lock.
+func (r *Roster) Snapshot() *Snapshot { return r.current.Load() }
+
+// Announce takes an upstream's heartbeat at now.
+func (r *Roster) Announce(now time.Duration, a engine.Announcement) error {
+	if err := a.Check(); err != nil {
+		return err
+	}
+	if a.Zone != r.zone {
+		return errors.NotValidf("upstream %q of zone %q announced in zone %q, so it", a.Name, a.Zone, r.zone)
+	}
+	r.mu.Lock()
+	old, known := r.own.list[a.Name]
+	if known && old.announcement.Incarnation > a.Incarnation {
+		r.mu.Unlock()
+		return errors.NotValidf("incarnation %d of upstream %q after %d", a.Incarnation, a.Name, old.announcement.Incarnation)
+	}
+	load := a.Load
+	a.Load = nil
+	news := !known || old.announcement != a
+	r.own.list[a.Name] = &heard{announcement: a, at: now}
+	if news {
+		r.own.version++
+		r.rebuild(now)
+		klog.InfoS("Upstream announced", "upstream", a.Name, "address", a.Address, "state", a.State, "role", a.Role)
+	}
+	if load != nil {
+		r.workOf(a.Name).Report(now, *load)
+	}
+	r.mu.Unlock()
+	if news {
+		r.changed()
+	}
+	return nil
+}
+
+// Expire drops upstreams that have been silent and VMs whose word has lapsed; it reports whether anything changed.
+func (r *Roster) Expire(now time.Duration) bool {
+	r.mu.Lock()
+	ownChanged, changed := false, false
+	for name, h := range r.own.list {
+		if now-h.at > Silence {
+			delete(r.own.list, name)
+			ownChanged = true
+			klog.InfoS("Upstream dropped: no heartbeat", "upstream", name, "address", h.announcement.Address, "for", now-h.at)
+		}
+	}
+	for vm, s := range r.peers {
+		if now-s.at > Vouching {
+			delete(r.peers, vm)
+			changed = true
+		}
+	}
+	for name, g := range r.gone {
+		if now-g.at > crashMemory {
+			delete(r.gone, name)
+		}
+	}
+	if ownChanged {
+		r.own.version++
+	}
+	if ownChanged || changed {
+		r.rebuild(now)
+	}
+	r.mu.Unlock()
+	if ownChanged {
+		r.changed()
+	}
+	return ownChanged || changed
+}
+
+// Crashed drops an incarnation that refused a connection while it had work, until it announces itself again.
+func (r *Roster) Crashed(now time.Duration, name id.Upstream, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone[name] = gone{incarnation: incarnation, at: now}
+	r.rebuild(now)
+}
+
+// Vouch returns this VM's word; full includes the list.
+func (r *Roster) Vouch(full bool) Vouch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := Vouch{VM: r.vm, Epoch: r.own.epoch, Version: r.own.version, Full: full}
+	if full {
+		for _, h := range r.own.list {
+			v.List = append(v.List, h.announcement)
+		}
+	}
+	return v
+}
+
+// Hear takes another VM's word at now. It returns false where the full list is needed.
+func (r *Roster) Hear(now time.Duration, v Vouch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, known := r.peers[v.VM]
+	if known && (v.Epoch < s.epoch || v.Epoch == s.epoch && v.Version < s.version) {
+		return true // delayed
+	}
+	if known && s.epoch == v.Epoch && s.version == v.Version {
+		s.at = now
+		return true
+	}
+	if !v.Full {
+		return false
+	}
+	n := &source{epoch: v.Epoch, version: v.Version, at: now, list: map[id.Upstream]*heard{}}
+	for _, a := range v.List {
+		n.list[a.Name] = &heard{announcement: a, at: now}
+	}
+	r.peers[v.VM] = n
+	r.rebuild(now)
+	return true
+}
+
+func (r *Roster) workOf(n id.Upstream) *Work {
+	w, ok := r.work[n]
+	if !ok {
+		w = &Work{}
+		r.work[n] = w
+	}
+	return w
+}
+
+// rebuild publishes a new snapshot: for each upstream the announcement of its latest incarnation, where a leaving
+// state wins over a ready one.
+func (r *Roster) rebuild(time.Duration) {
+	best := map[id.Upstream]engine.Announcement{}
+	take := func(s *source) {
+		for name, h := range s.list {
+			a := h.announcement
+			old, ok := best[name]
+			newer := a.Incarnation > old.Incarnation || a.Incarnation == old.Incarnation && a.State == engine.Leaving
+			if !ok || newer {
+				best[name] = a
+			}
+		}
+	}
+	take(&r.own)
+	for _, s := range r.peers {
+		take(s)
+	}
+	n := &Snapshot{Models: map[id.Model][]*Upstream{}, Services: map[id.Service][]*Upstream{}}
+	for name, a := range best {
+		if a.State != engine.Ready {
+			continue
+		}
+		if g, ok := r.gone[name]; ok && g.incarnation >= a.Incarnation {
+			continue
+		}
+		n.All = append(n.All, &Upstream{Announcement: a, Work: r.workOf(name), Hash: hash.String(name)})
+	}
+	slices.SortFunc(n.All, func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	for _, u := range n.All {
+		if u.Model != "" {
+			n.Models[u.Model] = append(n.Models[u.Model], u)
+		} else {
+			n.Services[u.Service] = append(n.Services[u.Service], u)
+		}
+	}
+	r.prune(best)
+	r.current.Store(n)
+}
+
+// prune forgets the work of upstreams that are gone and idle.
+func (r *Roster) prune(known map[id.Upstream]engine.Announcement) {
+	for name, w := range r.work {
+		if _, ok := known[name]; !ok && w.Requests.Load() == 0 {
+			delete(r.work, name)
+		}
+	}
+}
