--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -185,18 +185,18 @@
 }
 
 func (v *VM) buildLimits() {
-	v.limiter.Drawer = v.authority
+	v.limiter.Drawer, v.limiter.Short = v.authority, v.authority.ReportSoon
 	v.authority.OnDemand(func(now time.Duration) []authority.Demand {
 		var list []authority.Demand
 		v.limiter.Each(func(c id.Customer, b *limit.Bucket) {
 			if !v.authority.Leased(now, v.autonomy(c)) {
-				b.Set(now, limit.Part{}) // the leader may have given this share to others
+				b.Discard(now) // the leader may have given this share to others
 			}
 			part, wanted := b.Part(), b.Demand(now)
 			if wanted < leastDemand && part == (limit.Part{}) {
 				return
 			}
-			list = append(list, authority.Demand{Customer: c, Wanted: wanted, Rate: part.Rate, Burst: part.Burst})
+			list = append(list, authority.Demand{Customer: c, Wanted: wanted, Rate: part.Rate, Burst: part.Burst, Back: b.Back()})
 		})
 		return list
 	})
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -24,6 +24,7 @@
 const (
 	vmLease      = 15 * time.Second // how long a VM may serve keyed calls after a report
 	reportEvery  = 500 * time.Millisecond
+	reportGap    = 100 * time.Millisecond // least time between two reports
 	dutyEvery    = 200 * time.Millisecond
 	feedWait     = time.Second
 	callTimeout  = 2 * time.Second
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -221,13 +221,13 @@
 	}
 	a.feed.Publish()
 	if a.Config().Revision != before {
-		a.kick()
+		a.ReportSoon()
 	}
 	return nil
 }
 
-// kick makes the next report leave at once.
-func (a *Authority) kick() {
+// ReportSoon makes the next report leave as soon as the least gap between two allows.
+func (a *Authority) ReportSoon() {
 	select {
 	case a.report <- struct{}{}:
 	default:
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -278,7 +278,7 @@
 	g.Duration, g.Revision, g.Index = vmLease, l.a.Config().Revision, l.a.feed.Index()
 	for _, d := range r.Demands {
 		div := l.divider(now, d.Customer)
-		div.Report(r.VM, limit.Held{Wanted: d.Wanted, Part: limit.Part{Rate: d.Rate, Burst: d.Burst}})
+		div.Report(r.VM, limit.Held{Wanted: d.Wanted, Part: limit.Part{Rate: d.Rate, Burst: d.Burst}, Back: d.Back})
 		part, gift := div.Share(now, r.VM)
 		g.Shares = append(g.Shares, Share{Customer: d.Customer, Rate: part.Rate, Burst: part.Burst, Gift: gift})
 	}
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -58,6 +58,7 @@
 	Wanted   float64     `cbor:"2,keyasint"` // tokens a second asked for lately
 	Rate     float64     `cbor:"3,keyasint"` // share in force at the VM, tokens a second
 	Burst    float64     `cbor:"4,keyasint"` // share in force at the VM, tokens
+	Back     float64     `cbor:"5,keyasint,omitempty"` // tokens that a smaller share has dropped
 }
 
 // Report is sent by every VM twice a second, through its relay, to the leader.
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -31,7 +31,8 @@
 		if !a.leftAt.Load() {
 			a.reportOnce(ctx)
 		}
-		timer.Reset(reportEvery)
+		sleep(ctx, reportGap)
+		timer.Reset(reportEvery - reportGap)
 	}
 }
 
--- /dev/null
+++ b/internal/services/call/body_test.go
@@ -0,0 +1,40 @@
+package call
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func FuzzParseBody(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":3}`), true)
+	f.Add([]byte(`{"model":"m","prompt":"hi","max_completion_tokens":3}`), false)
+	f.Add([]byte(`{"model":"m","prompt":["a"],"n":2}`), false)
+	f.Fuzz(func(t *testing.T, data []byte, chat bool) {
+		b, err := ParseBody(data, chat)
+		if err != nil {
+			return
+		}
+		require.NotEmpty(t, b.Model)
+		out, err := b.Encode(b.OutputLimit(5), &Resume{Tokens: 1, Text: "x"})
+		require.NoError(t, err)
+		var back struct {
+			Stream bool  `json:"stream"`
+			Max    int64 `json:"max_tokens"`
+		}
+		require.NoError(t, json.Unmarshal(out, &back))
+		require.True(t, back.Stream)
+		require.Positive(t, back.Max)
+	})
+}
+
+func TestBlocksShareTheirPrefix(t *testing.T) {
+	a := make([]byte, 5*blockBytes)
+	b := append(append([]byte(nil), a[:3*blockBytes]...), make([]byte, 2*blockBytes)...)
+	b[4*blockBytes] = 'x'
+	x, y := Blocks(string(a)), Blocks(string(b))
+	require.Len(t, x, 5)
+	require.Equal(t, x[:4], y[:4])
+	require.NotEqual(t, x[4], y[4])
+}
--- a/internal/services/limit/bucket.go
+++ b/internal/services/limit/bucket.go
@@ -7,7 +7,7 @@
 )
 
 // demandMemory is the time constant of the demand estimate.
-const demandMemory = 2 * time.Second
+const demandMemory = time.Second
 
 // Bucket admits tokens on one VM inside its share. It takes no lock; the zero value admits nothing.
 type Bucket struct {
@@ -15,6 +15,7 @@
 	asked  atomic.Int64 // tokens asked for since the last Demand
 	demand atomic.Uint64
 	seen   atomic.Int64
+	back   atomic.Uint64 // tokens dropped by smaller shares, float bits
 }
 
 // fill is an immutable state of a bucket.
@@ -59,14 +60,29 @@
 }
 
 // Set changes the share. More burst brings no tokens of its own; less burst drops those beyond it.
+// Back reports them.
 func (b *Bucket) Set(now time.Duration, part Part) {
+	dropped := 0.0
 	b.update(func(f fill) (fill, bool) {
 		f = f.flow(now)
 		f.at = max(f.at, now)
 		f.part = part
-		f.level = min(f.level, part.Burst)
+		dropped = max(0, f.level-part.Burst)
+		f.level -= dropped
 		return f, true
 	})
+	if dropped > 0 {
+		b.back.Store(math.Float64bits(math.Float64frombits(b.back.Load()) + dropped))
+	}
+}
+
+// Back returns the tokens dropped by smaller shares since the last call. One thread sets shares and reports.
+func (b *Bucket) Back() float64 { return math.Float64frombits(b.back.Swap(0)) }
+
+// Discard empties the bucket: its share belongs to others now, and what it held too.
+func (b *Bucket) Discard(now time.Duration) {
+	b.Set(now, Part{})
+	b.Back()
 }
 
 // Part returns the share in force.
--- a/internal/services/limit/divide.go
+++ b/internal/services/limit/divide.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	restPart   = 0.2  // part of the burst that is never divided, for requests too big for a share
+	restPart   = 0.3  // part of the burst that is never divided, for requests too big for a share
 	restRate   = 0.02 // part of the rate that is never divided
-	spread     = 0.1  // part of what is divided that is spread evenly between the VMs with demand
+	spread     = 0.3  // part of what is divided that is spread evenly between the VMs with demand
+	headroom   = 1.3  // divided rate, as a multiple of the demand, while that is below the customer's rate
 	minChange  = 0.02 // smaller relative changes of a share are not sent
 	idleDemand = 1.0  // tokens a second below which a VM's share returns to the rest
 )
@@ -26,6 +27,7 @@
 type Held struct {
 	Wanted float64
 	Part   Part
+	Back   float64 // tokens that a smaller burst has dropped since the last report
 }
 
 // holding is what the divider knows of one VM's share.
@@ -59,6 +61,9 @@
 		d.held[vm] = x
 	}
 	x.wanted = h.Wanted
+	if !d.Frozen {
+		d.level += h.Back
+	}
 	if h.Part == x.last {
 		x.granted = h.Part // the VM has acknowledged the latest share
 	}
@@ -147,7 +152,8 @@
 		}
 	}
 	part := spread/float64(n) + (1-spread)*h.wanted/sum
-	return Part{Rate: d.limit.Rate * (1 - restRate) * part, Burst: d.limit.Burst * (1 - restPart) * part}
+	rate := min(d.limit.Rate*(1-restRate), headroom*sum)
+	return Part{Rate: rate * part, Burst: d.limit.Burst * (1 - restPart) * part}
 }
 
 // Draw takes n tokens from the undivided rest at now. It is refused where they are not there.
--- a/internal/services/limit/limiter.go
+++ b/internal/services/limit/limiter.go
@@ -26,6 +26,7 @@
 type Limiter struct {
 	buckets sync.Map // id.Customer to *Bucket
 	Drawer  Drawer
+	Short   func() // called when a share does not suffice, to report demand early
 }
 
 // Bucket returns the bucket of c.
@@ -65,6 +66,9 @@
 			c.Reserved = c.Prompt + c.Output
 			return nil
 		}
+		if l.Short != nil {
+			l.Short()
+		}
 		wait, possible := b.Wait(at, need)
 		if !possible || at+wait > end {
 			if l.Drawer != nil && l.Drawer.Draw(ctx, c.Customer, need) {
--- a/internal/services/order/order.go
+++ b/internal/services/order/order.go
@@ -137,6 +137,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held[l.Name]
+	if l.Fence < h.Fence {
+		return h, false // a late answer about an earlier grant
+	}
 	if h.Fence != l.Fence {
 		klog.InfoS("Lease acquired", "lease", l.Name, "fence", l.Fence)
 		h = Hold{Name: l.Name, Fence: l.Fence, acquired: clock.Boot()}
--- /dev/null
+++ b/internal/services/route/route_test.go
@@ -0,0 +1,124 @@
+package route
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/modules/hash"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/roster"
+)
+
+// TestMain fixes the seed, so that a run gives the same verdict every time.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "7")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func engines(n int) []*roster.Upstream {
+	var list []*roster.Upstream
+	for i := range n {
+		name := id.Upstream(fmt.Sprint("engine", i))
+		list = append(list, &roster.Upstream{
+			Announcement: engine.Announcement{Name: name, Model: "m", Role: engine.Both, Pieces: 4096, Cheap: i%3 == 2},
+			Work:         &roster.Work{}, Hash: hash.String(name),
+		})
+	}
+	return list
+}
+
+// TestPickStaysInsideTheBounds holds, for random loads, that the choice is eligible, has room, and is over the load
+// bound only where every other one of its class is too.
+func TestPickStaysInsideTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := engines(rapid.IntRange(1, 20).Draw(t, "engines"))
+		for _, u := range list {
+			u.Work.Pieces.Store(rapid.Int64Range(0, 6000).Draw(t, "load"))
+		}
+		avoid := rapid.IntRange(0, 19).Draw(t, "avoid")
+		q := &Query{
+			Prefix: rapid.Uint64().Draw(t, "prefix"), Pieces: rapid.Int64Range(1, 500).Draw(t, "pieces"), Bound: 1.25, Backlog: 0.5,
+			Cheap: 0.6, Draw: rapid.Float64Range(0, 0.99).Draw(t, "draw"),
+			Avoid: func(u *roster.Upstream) bool { return u.Name == id.Upstream(fmt.Sprint("engine", avoid)) },
+		}
+		c := Pick(0, list, q)
+		room := false
+		for _, u := range list {
+			fits := float64(u.Work.Load(0)+q.Pieces) <= 1.5*4096
+			room = room || fits && !q.Avoid(u)
+		}
+		require.Equal(t, room, c.Upstream != nil)
+		if c.Upstream == nil {
+			return
+		}
+		require.False(t, q.Avoid(c.Upstream))
+		require.LessOrEqual(t, c.Load, 1.5)
+		if c.Rule == Prefix {
+			require.LessOrEqual(t, c.Load, q.Bound*c.Mean+1e-9)
+		}
+	})
+}
+
+// TestLocalityAgainstNaive sends requests of 50 prefixes and counts how often a prefix meets an engine that has it: more
+// often than with the naive choice, and with the load of the fullest engine inside the bound.
+func TestLocalityAgainstNaive(t *testing.T) {
+	run := func(pick func(time.Duration, []*roster.Upstream, *Query) Choice) (hits int, top int64) {
+		list := engines(12)
+		has := map[id.Upstream]map[uint64]bool{}
+		for i := range 3000 {
+			q := &Query{Prefix: hash.Mix(uint64(i*7919) % 50), Pieces: 20, Bound: 1.25, Backlog: 1000, Cheap: 0.33, Draw: float64(i%100) / 100}
+			u := pick(0, list, q).Upstream
+			if has[u.Name] == nil {
+				has[u.Name] = map[uint64]bool{}
+			}
+			if has[u.Name][q.Prefix] {
+				hits++
+			}
+			has[u.Name][q.Prefix] = true
+			u.Work.Pieces.Add(q.Pieces)
+			u.Work.Requests.Add(1)
+		}
+		for _, u := range list {
+			top = max(top, u.Work.Pieces.Load())
+		}
+		return hits, top
+	}
+	hits, top := run(Pick)
+	naiveHits, naiveTop := run(Naive)
+	t.Logf("hits %d, naive %d; fullest %d, naive %d", hits, naiveHits, top, naiveTop)
+	require.Greater(t, hits, naiveHits)
+	require.LessOrEqual(t, float64(top), 1.6*float64(naiveTop))
+}
+
+func TestOpenCircuitIsPassedOver(t *testing.T) {
+	list := engines(2)
+	for range 3 {
+		list[0].Work.Fail(time.Second)
+	}
+	q := &Query{Pieces: 1, Bound: 1.25, Backlog: 1}
+	require.Equal(t, list[1], Pick(time.Second, list, q).Upstream)
+	require.NotNil(t, Pick(10*time.Second, list[:1], q).Upstream, "the circuit closes again")
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{9, 70, 700} {
+		b.Run(fmt.Sprint("engines=", n), func(b *testing.B) {
+			list := engines(n)
+			q := &Query{Prefix: 1, Pieces: 20, Bound: 1.25, Backlog: 1e12, Cheap: 0.6}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q.Prefix, q.Draw = hash.Mix(uint64(i)), float64(i%100)/100
+				c := Pick(0, list, q)
+				c.Upstream.Work.Pieces.Add(1)
+			}
+		})
+	}
+}
