--- a/internal/models/state/state_test.go
+++ b/internal/models/state/state_test.go
@@ -10,11 +10,11 @@
 
 	"wagtaillift/internal/models/claim"
 	"wagtaillift/internal/models/customer"
-	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/id"
 )
 
 // log applies commands in order, to a machine and to a copy that is restored from a snapshot now and then.
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -59,6 +59,7 @@
 
 	leaseEnd  atomic.Int64 // clock.Boot, nanoseconds
 	leftAt    atomic.Bool
+	noted     atomic.Uint64 // revision at the last early report
 	withdrawn rcu.Value[map[id.Key]bool]
 	demand    func(now time.Duration) []Demand
 	readings  func() []usage.Reading
@@ -66,6 +67,7 @@
 	report    chan struct{}
 
 	addresses sync.Map // quorum.Node to string
+	kept      rcu.Value[map[id.VM]string]
 	outboxes  sync.Map // string to chan quorum.Message
 	uplink    atomic.Pointer[string]
 	leader    *leader
@@ -104,13 +106,22 @@
 		return errors.Annotate(err, "open replicated log")
 	}
 	a.node = nodeName(a.opt.VM, disk)
+	a.loadAddresses()
 	a.replica, err = replica.New(replica.Options[state.Result]{
 		Self: a.node, Disk: log, State: s, Machine: a.feed, Send: a.sendLog, Drift: lease.DriftBound,
-		Notify: func(quorum.Index) {}, Seed: uint64(a.opt.Incarnation),
+		Notify: a.noteApplied, Seed: uint64(a.opt.Incarnation),
 	})
 	return err
 }
 
+// noteApplied reports early when the configuration has changed, so that a change is known to be in force soon.
+func (a *Authority) noteApplied(quorum.Index) {
+	rev := uint64(a.Config().Revision)
+	if a.noted.Swap(rev) != rev {
+		a.ReportSoon()
+	}
+}
+
 // OnDemand sets the function that reports this VM's demand of customers' rates. It is set before Run.
 func (a *Authority) OnDemand(f func(now time.Duration) []Demand) { a.demand = f }
 
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -81,6 +81,9 @@
 			return errors.Errorf("found the fleet: %s", r.Message)
 		}
 	}
+	if len(commands) == 0 {
+		m.Apply(1, nil) // a snapshot at index 0 would look like an empty log to a learner
+	}
 	i, data, err := m.Snapshot()
 	if err != nil {
 		return err
@@ -106,17 +109,6 @@
 	return "", false
 }
 
-// address returns where n listens.
-func (a *Authority) address(n quorum.Node) (string, bool) {
-	if m, ok := a.feed.Members()[nodeVM(n)]; ok {
-		return m.Peer, true
-	}
-	if v, ok := a.addresses.Load(n); ok {
-		return v.(string), true
-	}
-	return "", false
-}
-
 // candidates lists where this VM may attach, best first: its data centre's relay, the control VMs nearest by name
 // order, the seeds.
 func (a *Authority) candidates() []string {
@@ -212,7 +204,6 @@
 	if len(r.Items) == 0 {
 		return nil
 	}
-	before := a.Config().Revision
 	for _, it := range r.Items {
 		if at := a.feed.Index(); it.Index != at+1 {
 			return errors.Errorf("entry %d follows entry %d", it.Index, at)
@@ -220,9 +211,7 @@
 		a.feed.Apply(quorum.Index(it.Index), it.Data)
 	}
 	a.feed.Publish()
-	if a.Config().Revision != before {
-		a.ReportSoon()
-	}
+	a.noteApplied(0)
 	return nil
 }
 
@@ -234,10 +223,11 @@
 	}
 }
 
-// enroll makes this control VM's disk a member of the log and finds the leader after a start.
+// enroll makes this control VM's disk a member of the log. While no leader is known it tells the others its address.
 func (a *Authority) enroll(ctx context.Context) {
 	for ctx.Err() == nil {
-		if s := a.replica.Status(); s.Members.Has(a.node) {
+		a.saveAddresses()
+		if s := a.replica.Status(); s.Members.Has(a.node) && s.Leader != "" {
 			sleep(ctx, feedWait)
 			continue
 		}
@@ -248,7 +238,7 @@
 			_, err := peer.Call[empty](call, a.opt.Transport, to, methodEnroll, q)
 			cancel()
 			if err == nil {
-				klog.InfoS("Disk enrolled", "node", a.node, "peer", to)
+				klog.V(1).InfoS("Disk enrolled", "node", a.node, "peer", to)
 				break
 			}
 			klog.V(1).InfoS("Enrolment failed", "peer", to, "err", err)
--- a/internal/services/authority/handle.go
+++ b/internal/services/authority/handle.go
@@ -48,9 +48,6 @@
 // sendLog queues a message of the log; it is dropped where the queue is full.
 func (a *Authority) sendLog(m quorum.Message) {
 	to, ok := a.address(m.To)
-	if v, known := a.addresses.Load(m.To); known {
-		to, ok = v.(string), true
-	}
 	if !ok {
 		return
 	}
@@ -126,6 +123,7 @@
 	if nodeVM(q.Node) != from {
 		return empty{}, errors.Errorf("enrolment of %s from %s", q.Node, from)
 	}
+	a.addresses.Store(q.Node, q.Address)
 	return empty{}, a.enrol(ctx, q)
 }
 
@@ -133,7 +131,6 @@
 func (a *Authority) enrol(ctx context.Context, q enrollment) error {
 	if a.replica != nil && a.replica.Status().Leading {
 		s := a.replica.Status()
-		a.addresses.Store(q.Node, q.Address)
 		if s.Members.Has(q.Node) {
 			return nil
 		}
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -352,7 +352,7 @@
 
 func (l *leader) nextMembers(now time.Duration, s replica.Status) (quorum.Members, bool) {
 	for _, n := range s.Members.Learners {
-		if s.Matches[n]+caughtUp < s.Commit {
+		if s.Matches[n] == 0 || s.Matches[n]+caughtUp < s.Commit {
 			continue
 		}
 		if old, ok := sameVM(s.Members.Voters, n); ok {
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -55,9 +55,9 @@
 // Demand is what a VM wants and holds of a customer's rate.
 type Demand struct {
 	Customer id.Customer `cbor:"1,keyasint"`
-	Wanted   float64     `cbor:"2,keyasint"` // tokens a second asked for lately
-	Rate     float64     `cbor:"3,keyasint"` // share in force at the VM, tokens a second
-	Burst    float64     `cbor:"4,keyasint"` // share in force at the VM, tokens
+	Wanted   float64     `cbor:"2,keyasint"`           // tokens a second asked for lately
+	Rate     float64     `cbor:"3,keyasint"`           // share in force at the VM, tokens a second
+	Burst    float64     `cbor:"4,keyasint"`           // share in force at the VM, tokens
 	Back     float64     `cbor:"5,keyasint,omitempty"` // tokens that a smaller share has dropped
 }
 
