Refusals proved true; strangers refused; typed errors matched

Cause: TestOthersAreRefused showed that errors.Is never found the sentinels that were attached with Wrap: a peer that could not be reached counted as an unknown outcome, an order that was not sent as sent. Change: the sentinels are typed constants attached with WithType.

--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -32,7 +32,7 @@
 )
 
 // ErrUnreached says that no byte of a call was sent.
-var ErrUnreached = errors.New("the peer could not be reached")
+const ErrUnreached = errors.ConstError("the peer could not be reached")
 
 // Handler answers one call from a VM of the fleet.
 type Handler func(ctx context.Context, from id.VM, body []byte) ([]byte, error)
@@ -227,11 +227,11 @@
 	l := t.link(address)
 	conn, err := t.connect(ctx, l, address)
 	if err != nil {
-		return nil, errors.Wrap(err, ErrUnreached)
+		return nil, errors.WithType(err, ErrUnreached)
 	}
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, ErrUnreached)
+		return nil, errors.WithType(err, ErrUnreached)
 	}
 	stop := context.AfterFunc(ctx, func() {
 		s.CancelRead(codeFinished)
--- /dev/null
+++ b/internal/modules/peer/peer_test.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"wagtaillift/internal/modules/cert"
+	"wagtaillift/internal/modules/id"
+)
+
+// vmCert makes a certificate for vm under the authority in ca, valid from at for an hour.
+func vmCert(t *testing.T, ca string, vm id.VM, at time.Time) string {
+	t.Helper()
+	folder := filepath.Join(t.TempDir(), string(vm))
+	require.NoError(t, cert.NewVM(ca, folder, vm, "a", at, time.Hour))
+	return folder
+}
+
+func newCA(t *testing.T, fleet string) string {
+	t.Helper()
+	folder := filepath.Join(t.TempDir(), "ca")
+	require.NoError(t, cert.NewCA(folder, fleet, time.Now().Add(-48*time.Hour), 96*time.Hour))
+	return folder
+}
+
+func listen(t *testing.T, folder string) *Transport {
+	t.Helper()
+	store, err := cert.Load(folder)
+	require.NoError(t, err)
+	tr, err := New("127.0.0.1:0", store)
+	require.NoError(t, err)
+	Handle(tr, "echo", func(_ context.Context, from id.VM, q string) (string, error) {
+		if q == "" {
+			return "", errors.NotValidf("empty text")
+		}
+		return string(from) + ":" + q, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go tr.Serve(ctx)
+	t.Cleanup(func() {
+		cancel()
+		tr.Close()
+	})
+	return tr
+}
+
+func echo(from, to *Transport, text string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return Call[string](ctx, from, to.Address(), "echo", text)
+}
+
+func TestCall(t *testing.T) {
+	ca := newCA(t, "fleet")
+	a, b := listen(t, vmCert(t, ca, "vm1", time.Now())), listen(t, vmCert(t, ca, "vm2", time.Now()))
+	got, err := echo(a, b, "hi")
+	require.NoError(t, err)
+	require.Equal(t, "vm1:hi", got)
+	t.Run("an error names method and peer", func(t *testing.T) {
+		_, err := echo(a, b, "")
+		var remote *RemoteError
+		require.ErrorAs(t, err, &remote)
+		require.Equal(t, b.Address(), remote.Address)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		b.Close()
+		_, err := echo(b, a, "x")
+		require.Error(t, err)
+	})
+}
+
+func TestOthersAreRefused(t *testing.T) {
+	ca := newCA(t, "fleet")
+	a := listen(t, vmCert(t, ca, "vm1", time.Now()))
+	for name, folder := range map[string]string{
+		"another fleet": vmCert(t, newCA(t, "other"), "vm2", time.Now()),
+		"expired":       vmCert(t, ca, "vm2", time.Now().Add(-24*time.Hour)),
+		"not yet valid": vmCert(t, ca, "vm2", time.Now().Add(24*time.Hour)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			stranger := listen(t, folder)
+			_, err := echo(stranger, a, "hi")
+			require.ErrorContains(t, err, "echo at")
+			_, err = echo(a, stranger, "hi")
+			require.ErrorIs(t, err, ErrUnreached)
+		})
+	}
+}
+
+// TestRenewedCertificateLoads replaces an expired certificate under a running VM.
+func TestRenewedCertificateLoads(t *testing.T) {
+	ca := newCA(t, "fleet")
+	a := listen(t, vmCert(t, ca, "vm1", time.Now()))
+	folder := vmCert(t, ca, "vm2", time.Now().Add(-24*time.Hour))
+	b := listen(t, folder)
+	_, err := echo(b, a, "hi")
+	require.Error(t, err)
+	require.NoError(t, cert.NewVM(ca, folder, "vm2", "a", time.Now(), time.Hour))
+	time.Sleep(2 * dialPause)
+	got, err := echo(b, a, "hi")
+	require.NoError(t, err)
+	require.Equal(t, "vm2:hi", got)
+}
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -28,11 +28,11 @@
 	eventEnd       = "end"
 )
 
-var (
-	errCut             = errors.New("the stream ended without its end mark")
-	errForeign         = errors.New("the answer belongs to another request")
-	errOrder           = errors.New("a token is missing or out of order")
-	errRefusedByEngine = errors.New("the engine refused the request")
+const (
+	errCut             = errors.ConstError("the stream ended without its end mark")
+	errForeign         = errors.ConstError("the answer belongs to another request")
+	errOrder           = errors.ConstError("a token is missing or out of order")
+	errRefusedByEngine = errors.ConstError("the engine refused the request")
 )
 
 // Sink takes an answer for the caller.
@@ -68,7 +68,7 @@
 			Status: resp.StatusCode, Code: call.BadRequest, Run: call.Unknown, Step: step, Reason: "the engine refused the request",
 		}
 	default:
-		return errors.Wrap(errors.Errorf("status %d", resp.StatusCode), errRefusedByEngine)
+		return errors.WithType(errors.Errorf("status %d", resp.StatusCode), errRefusedByEngine)
 	}
 	if got := resp.Header.Get(headerRequest); got != string(want) {
 		return errForeign
--- a/internal/services/order/send.go
+++ b/internal/services/order/send.go
@@ -26,9 +26,9 @@
 	maxReply    = 1 << 20
 )
 
-var (
-	errNotSent = errors.New("the lease or the time left is too short")
-	errRefused = errors.New("the peer refused")
+const (
+	errNotSent = errors.ConstError("the lease or the time left is too short")
+	errRefused = errors.ConstError("the peer refused")
 )
 
 // sender writes orders on connections of their own, which the kernel may not keep delivering on after they are given
@@ -69,7 +69,7 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
 			if err != nil {
-				return nil, errors.Wrap(err, errNotSent)
+				return nil, errors.WithType(err, errNotSent)
 			}
 			if tcp, ok := c.(*net.TCPConn); ok {
 				tcp.SetLinger(0)
@@ -108,7 +108,7 @@
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if resp.StatusCode/100 != 2 {
-		return errors.Wrap(errors.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)), errRefused)
+		return errors.WithType(errors.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)), errRefused)
 	}
 	return nil
 }
