--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	election      = 600 * time.Millisecond
-	heartbeat     = 100 * time.Millisecond
+	election      = time.Second
+	heartbeat     = 250 * time.Millisecond
 	batchBytes    = 1 << 20
 	inboxLength   = 4096
 	compactAfter  = 20000 // entries
--- a/internal/routers/vm/vm_test.go
+++ b/internal/routers/vm/vm_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -47,7 +48,7 @@
 
 // fleet is a few VMs in one process with their stand-ins.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	folder   string
 	vms      []*VM
 	stops    []func()
@@ -60,7 +61,7 @@
 }
 
 // newFleet starts n VMs of one data centre; the first is the only voter.
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t testing.TB, n int) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{t: t, folder: t.TempDir(), secrets: map[string]string{}, ledger: &emulate.Ledger{}, ctx: ctx}
 	require.NoError(t, cert.NewCA(f.path("ca"), "test", time.Now(), time.Hour))
@@ -264,8 +265,8 @@
 	require.Equal(t, string(run), resp.Header.Get("Wagtaillift-Run"))
 }
 
-// answers is the number of answers that TestAnswersAreWholeAndTheirOwn checks.
-const answers = 1500
+// answers is the number of answers that TestAnswersAreWholeAndTheirOwn checks; -answers 10000 is the long run.
+var answers = flag.Int("answers", 1500, "answers that TestAnswersAreWholeAndTheirOwn checks")
 
 // TestAnswersAreWholeAndTheirOwn sends 64 concurrent callers through 3 VMs to engines that answer late, crossed, cut
 // and reset.
@@ -279,7 +280,7 @@
 		Targets: f.targets(), Model: testModel, App: testApp, Deadline: waitLimit, First: waitLimit, Gap: waitLimit,
 		Customers: []load.Customer{{Name: "one", Key: f.secrets["one"]}, {Name: "two", Key: f.secrets["two"]}},
 	}
-	list := load.Burst(context.Background(), opt, 64, answers, 1)
+	list := load.Burst(context.Background(), opt, 64, *answers, 1)
 	whole, failed := 0, 0
 	for _, o := range list {
 		require.False(t, o.Wrong, "request %s: a wrong answer looks complete", o.Request)
@@ -292,7 +293,7 @@
 		}
 	}
 	t.Logf("%d whole, %d ended by an error, 0 wrong", whole, failed)
-	require.Greater(t, whole, answers*95/100)
+	require.Greater(t, whole, *answers*95/100)
 }
 
 func TestKeys(t *testing.T) {
@@ -480,3 +481,75 @@
 	_, left := f.vms[0].authority.State().Members()["vm2"]
 	require.False(t, left)
 }
+
+// TestDisconnectIsCarriedToTheEngine closes a caller's connection in the middle of a stream.
+func TestDisconnectIsCarriedToTheEngine(t *testing.T) {
+	f := newFleet(t, 1)
+	e := f.engine(0, emulate.Faults{})
+	f.ready(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, "POST", f.vms[0].CallerURL()+"/v1/chat/completions", strings.NewReader(chat("x", 90000, true)))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+f.secrets["one"])
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	_, err = resp.Body.Read(make([]byte, 100))
+	require.NoError(t, err)
+	cancel()
+	resp.Body.Close()
+	f.until("the engine has cancelled", func() bool { return e.Stats().Cancelled == 1 })
+	f.until("the VM has forgotten it", func() bool { return f.vms[0].caller.Running.Load() == 0 })
+}
+
+// TestDeadline holds that a request ends at its deadline, with what became of it.
+func TestDeadline(t *testing.T) {
+	f := newFleet(t, 1)
+	f.engine(0, emulate.Faults{})
+	f.ready(1)
+	resp, body := f.do(f.vms[0], "POST", "/v1/chat/completions", f.secrets["one"], chat("x", 90000, false), "Wagtaillift-Deadline", "200ms")
+	requireRefusal(t, resp, body, http.StatusGatewayTimeout, call.Deadline, call.Unknown)
+	resp, body = f.do(f.vms[0], "POST", "/v1/chat/completions", f.secrets["one"], chat("x", 9, false), "Wagtaillift-Deadline", "soon")
+	requireRefusal(t, resp, body, http.StatusBadRequest, call.BadRequest, call.No)
+}
+
+// TestSilentUpstreamGetsNoNewWork kills an application; within the limit no VM sends it anything.
+func TestSilentUpstreamGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, 2)
+	f.app("app1", testApp)
+	a := f.app("app2", testApp)
+	f.ready(2)
+	a.Silence()
+	start := time.Now()
+	f.ready(1)
+	require.Less(t, time.Since(start), 3*time.Second)
+}
+
+// BenchmarkFirstToken measures what a VM adds to the first token, at 50 requests a second with streams of 200 tokens,
+// against the same client straight at the same engines.
+func BenchmarkFirstToken(b *testing.B) {
+	f := newFleet(b, 1)
+	for i := range 4 {
+		f.engine(i, emulate.Faults{})
+	}
+	f.ready(4)
+	var direct []string
+	for _, e := range f.engines {
+		direct = append(direct, "http://"+e.Address())
+	}
+	phase := load.Phase{Name: "steady", Long: 8 * time.Second, Rate: 50, Mix: load.Mix{Prompt: 200, Output: 200}}
+	plan := load.Plan(1, []load.Phase{phase}, []load.Customer{{Name: "one", Weight: 1}}, 0)
+	opt := load.Options{
+		Targets: direct, Direct: true, Model: testModel, Deadline: waitLimit, First: waitLimit, Gap: waitLimit,
+		Customers: []load.Customer{{Name: "one", Key: f.secrets["one"]}},
+	}
+	for b.Loop() {
+		straight := load.Sum(&opt, load.Run(context.Background(), opt, plan), phase.Long)
+		through := opt
+		through.Targets, through.Direct = f.targets(), false
+		routed := load.Sum(&through, load.Run(context.Background(), through, plan), phase.Long)
+		for _, n := range []string{"first_token_p50", "first_token_p95", "first_token_p99"} {
+			b.ReportMetric(straight.Value(n), "ms-straight-"+n)
+			b.ReportMetric(routed.Value(n), "ms-through-"+n)
+		}
+	}
+}
--- a/internal/services/emulate/app.go
+++ b/internal/services/emulate/app.go
@@ -69,6 +69,7 @@
 	heads  []http.Header
 	server *http.Server
 	state  engine.State
+	silent context.CancelFunc
 }
 
 // Start listens and announces the application.
@@ -83,6 +84,7 @@
 	a.state = engine.Ready
 	a.server = &http.Server{Handler: a, ReadHeaderTimeout: time.Minute}
 	srv := a.server
+	ctx, a.silent = context.WithCancel(ctx)
 	a.mu.Unlock()
 	go srv.Serve(l)
 	go announceLoop(ctx, a.Announce, a.Key, func() engine.Announcement {
@@ -95,8 +97,14 @@
 	return nil
 }
 
+// Silence stops the announcements; the application goes on answering.
+func (a *App) Silence() { a.silent() }
+
 // Kill ends the application as a killed process would.
-func (a *App) Kill() { a.server.Close() }
+func (a *App) Kill() {
+	a.silent()
+	a.server.Close()
+}
 
 // Heads returns the headers that reached the application.
 func (a *App) Heads() []http.Header {
--- a/internal/services/load/run.go
+++ b/internal/services/load/run.go
@@ -28,6 +28,7 @@
 	Deadline  time.Duration
 	First     time.Duration // objective: first token within
 	Gap       time.Duration // objective: mean time between tokens within
+	Direct    bool          // the targets are engines, without a VM between
 	Resend    int           // how often a booking is sent again after an unclear or "not run" answer
 }
 
@@ -137,6 +138,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+r.keys[a.Customer])
 	req.Header.Set("Wagtaillift-Deadline", r.opt.Deadline.String())
+	if r.opt.Direct {
+		req.Header.Set("Wagtaillift-Request", fmt.Sprint("direct-", a.Serial))
+	}
 	return req, nil
 }
 
@@ -201,7 +205,7 @@
 		switch {
 		case line == "event: error":
 			failed = true
-		case line == "data: [DONE]":
+		case line == "data: [DONE]", line == "event: end":
 			done = true
 		case failed && strings.HasPrefix(line, "data: "):
 			o.refused(strings.NewReader(line[len("data: "):]))
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,63 @@
+#!/usr/bin/env bash
+# Runs the loopback fleet through calm, a shift of the mix, a burst of one customer, a killed VM, a crashed engine and a
+# stopped VM, and prints lines `name value unit`. About three minutes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/lib.sh
+RUN=${RUN:-run/bench}
+SEED=${SEED:-1}
+RATE=${RATE:-60}
+trap stop_all EXIT
+
+customers() { for c in chakra swan tuk pewter lake; do printf -- '--customer %s=%s ' "$c" "$(cat "$RUN/keys/$c")"; done; }
+targets() { for i in "$@"; do printf -- '--target %s ' "$(caller_of "$i")"; done; }
+load() { # load PREFIX ARGS...
+    local prefix=$1
+    shift
+    # shellcheck disable=SC2046
+    "$BIN" load $(customers) --seed "$SEED" --rate "$RATE" --prefix "${prefix}_" --json "$RUN/$prefix.json" --csv "$RUN/$prefix.csv" "$@"
+}
+all() { targets $(seq 1 "$VMS"); }
+
+up
+sleep 1
+load calm --long 15s $(all)
+load shift --long 20s --shift $(all)
+load surge --long 20s --surge chakra $(all)
+
+# A VM is stopped gracefully: the health check fails, the balancer leaves it out, nothing is cut.
+load stop --long 12s $(targets 1 2 3 4 5 6 7) &
+work=$!
+load leaving --long 4s $(targets 8) &
+leaving=$!
+sleep 4.2
+kill -TERM "${PIDS[vm8]}"
+wait "$work" "$leaving"
+
+# A follower is killed: its callers lose their connections, nobody else notices.
+load kill --long 12s $(targets 1 2 3 4 5 6) &
+work=$!
+sleep 3
+kill -KILL "${PIDS[vm7]}"
+wait "$work"
+
+# The leader is killed.
+load leader --long 12s $(targets 2 3 4 5 6) &
+work=$!
+sleep 3
+kill -KILL "${PIDS[vm1]}"
+wait "$work"
+
+# Time until a change is in force on every VM that is left (the killed ones count until their leases have ended).
+WAGTAILLIFT_SERVER=$(operator_of 2)
+export WAGTAILLIFT_SERVER
+sleep 16
+for i in $(seq 1 20); do
+    begin=$(date +%s%N)
+    "$BIN" admin default "wait=0.$((20 + i))" > /dev/null
+    echo $((($(date +%s%N) - begin) / 1000000))
+done | sort -n | awk '{a[NR] = $1} END {print "change_in_force_p50", a[int(NR / 2) + 1], "ms"; print "change_in_force_max", a[NR], "ms"}'
+curl -s "http://127.0.0.1:$((BASE + 9))/emulate/stats" | tr ',{}' '\n\n\n' | awk -F: '
+    /"conflicts"/ {print "report_conflicts", $2, "windows"} /"stale"/ {print "stale_reports", $2, "reports"}
+    /"windows"/ {print "reported_windows", $2, "windows"}'
+"$BIN" report burn --server "$(operator_of 2)" --server "$(operator_of 3)" --format html --out "$RUN/burn.html"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -70,10 +70,10 @@
 write_plan() {
     local z k engines="" apps="" cheap fenced
     for z in a b c; do
-        for k in 1 2 3; do
+        for k in $(seq 1 "${ENGINES:-3}"); do
             cheap=false fenced=true
-            [ "$k" = 3 ] && cheap=true
-            [ "$k" = 2 ] && fenced=false
+            [ $((k % 3)) = 0 ] && cheap=true
+            [ $((k % 3)) = 2 ] && fenced=false
             engines="$engines{\"name\":\"engine-$z$k\",\"zone\":\"$z\",\"address\":\"127.0.0.1:0\",\"model\":\"verdict\",\"cheap\":$cheap,\"fenced\":$fenced,\"pieces\":4096,\"announce\":$(announce_list $z),\"restart\":\"2s\",\"lag\":\"500ms\",\"faults\":{\"crash\":\"crash-this-engine\",\"cut\":${CUT:-0},\"late\":${LATE:-0},\"cross\":${CROSS:-0},\"reset\":${RESET:-0}}},"
         done
         apps="$apps{\"name\":\"app-$z\",\"zone\":\"$z\",\"address\":\"127.0.0.1:0\",\"service\":\"booking\",\"announce\":$(announce_list $z),\"delay\":\"5ms\"},"
