--- a/internal/services/authority/authority_test.go
+++ b/internal/services/authority/authority_test.go
@@ -35,7 +35,7 @@
 
 // group is a few VMs in one process.
 type group struct {
-	t      *testing.T
+	t      testing.TB
 	folder string
 	nodes  []*node
 	inc    id.Incarnation
@@ -48,8 +48,7 @@
 // newGroup starts control VMs and followers, a data centre for each control VM.
 func newGroup(t *testing.T, control, followers int) *group {
 	g := &group{t: t, folder: t.TempDir()}
-	require.NoError(t, cert.NewCA(g.path("ca"), "test", time.Now(), time.Hour))
-	require.NoError(t, Found(g.path("vm0"), "vm0", nil))
+	g.found()
 	for i := range control + followers {
 		n := &node{name: fmt.Sprint("vm", i), control: i < control, address: "127.0.0.1:0"}
 		g.nodes = append(g.nodes, n)
@@ -68,6 +67,12 @@
 	return g
 }
 
+// found makes the authority of the fleet and its first state.
+func (g *group) found() {
+	require.NoError(g.t, cert.NewCA(g.path("ca"), "test", time.Now(), time.Hour))
+	require.NoError(g.t, Found(g.path("vm0"), "vm0", nil))
+}
+
 func (g *group) zone(n *node) id.Zone {
 	for i, x := range g.nodes {
 		if x == n {
