Followers receive only what they apply; suspects isolated in the whole data centre

Cause: (1) claims and usage went down every feed, so a follower's bytes grew with requests. (2) A neighbour of a crashing request was quarantined with it when two VMs' suspects met on one engine, and a failed dial counted as a second crash. (3) At a reclaim, requests that had begun were refused for lack of room, and found no engine because a reclaimed engine's requests counted as suspects. Change: the feed leaves control VMs' entries out, answers say up to which index; VMs reserve an engine for a suspect with the VMs of their data centre; only an attempt whose bytes were sent is blamed, never one on an engine that announced that it leaves; begun requests go on beyond the limits and wait up to 10 s.

--- a/cmd/emulate.go
+++ b/cmd/emulate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -25,6 +26,7 @@
 type emulatePlan struct {
 	KeyFile  string          `json:"keyfile"` // upstream credential
 	Platform string          `json:"platform"`
+	Control  string          `json:"control"` // address that steers the stand-ins
 	Seed     uint64          `json:"seed"`
 	Engines  []emulateEngine `json:"engines"`
 	Apps     []emulateApp    `json:"apps"`
@@ -72,6 +74,7 @@
 
 func startStandIns(ctx context.Context, plan *emulatePlan, secret string) error {
 	weights := &emulate.Weights{Each: time.Second}
+	group := &emulate.Group{}
 	for i, e := range plan.Engines {
 		restart, err := optional(e.Restart)
 		if err != nil {
@@ -88,6 +91,10 @@
 		if err := x.Start(ctx); err != nil {
 			return err
 		}
+		group.Engines = append(group.Engines, x)
+	}
+	if err := listenAside(plan.Control, group); err != nil {
+		return err
 	}
 	ledgers := map[id.Service]*emulate.Ledger{}
 	for _, p := range plan.Apps {
@@ -105,11 +112,20 @@
 			return err
 		}
 	}
-	if plan.Platform == "" {
+	return listenAside(plan.Platform, &emulate.Platform{})
+}
+
+// listenAside serves h at address, unless that is empty.
+func listenAside(address string, h http.Handler) error {
+	if address == "" {
 		return nil
 	}
-	srv := &http.Server{Addr: plan.Platform, Handler: &emulate.Platform{}, ReadHeaderTimeout: time.Minute}
-	go srv.ListenAndServe()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotatef(err, "listen on %s", address)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go srv.Serve(l)
 	return nil
 }
 
--- a/internal/models/state/command.go
+++ b/internal/models/state/command.go
@@ -164,6 +164,28 @@
 	return data, errors.Annotate(err, "encode command")
 }
 
+// The commands that only control VMs apply, by the key of their encoding. They are the bulk of the log: claims and usage
+// grow with requests, everything else with changes of the fleet.
+var controlOnly = map[string]bool{"claim": true, "settle": true, "usage": true, "seal": true, "ack": true}
+
+const (
+	mapOfOne  = 0xa1 // CBOR head of a map with one pair
+	shortText = 0x60 // CBOR head of a text of less than 24 bytes, less its length
+	maxShort  = 23
+)
+
+// Followed reports whether VMs that only follow the log apply the command in data.
+func Followed(data []byte) bool {
+	if len(data) < 2 || data[0] != mapOfOne {
+		return false
+	}
+	n := int(data[1]) - shortText
+	if n < 0 || n > maxShort || len(data) < 2+n {
+		return true
+	}
+	return !controlOnly[string(data[2:2+n])]
+}
+
 func decode(data []byte) (Command, error) {
 	var c Command
 	err := cbor.Unmarshal(data, &c)
--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -365,6 +365,25 @@
 	return m.t.Index, data, errors.Annotate(err, "encode snapshot")
 }
 
+// FollowerSnapshot returns the encoded tables without what only control VMs keep.
+func (m *Machine) FollowerSnapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.t
+	t.Claims, t.Opened = nil, nil
+	t.Counts, t.Reported, t.Reports = nil, nil, nil
+	t.Answers, t.Asked = nil, nil
+	data, err := cbor.Marshal(t)
+	return data, errors.Annotate(err, "encode snapshot")
+}
+
+// Skip moves the applied index forward over entries that this VM does not follow.
+func (m *Machine) Skip(to id.Index) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.t.Index = max(m.t.Index, to)
+}
+
 // Restore replaces the tables by a snapshot.
 func (m *Machine) Restore(data []byte) error {
 	n := New()
@@ -377,6 +396,21 @@
 		return errors.NotValidf("snapshot at index %d below the applied %d, so it", n.t.Index, m.t.Index)
 	}
 	m.t = n.t
+	m.t.fill()
 	m.dirty = true
 	return nil
 }
+
+// fill makes the maps that a snapshot for followers leaves out.
+func (t *tables) fill() {
+	empty := New().t
+	if t.Claims == nil {
+		t.Claims = empty.Claims
+	}
+	if t.Counts == nil {
+		t.Counts, t.Reported = empty.Counts, empty.Reported
+	}
+	if t.Answers == nil {
+		t.Answers = empty.Answers
+	}
+}
--- a/internal/routers/operator/operator.go
+++ b/internal/routers/operator/operator.go
@@ -253,7 +253,7 @@
 
 func (h *Handler) orders(*http.Request) (any, error) { return h.Authority.State().Orders(), nil }
 
-func (h *Handler) usage(*http.Request) (any, error) { return h.Authority.State().Reports(), nil }
+func (h *Handler) usage(r *http.Request) (any, error) { return h.Authority.Reports(r.Context()) }
 
 func (h *Handler) burn(*http.Request) (any, error) { return h.Burn(time.Now()), nil }
 
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -40,13 +40,15 @@
 )
 
 const (
-	methodHold   = "hold"
-	methodRefuse = "refuse"
-	peerTimeout  = time.Second
-	idlePoll     = 20 * time.Millisecond
-	leaveTimeout = 5 * time.Second
-	closeTimeout = 2 * time.Second
-	leastDemand  = 0.01 // tokens a second below which a customer is left out of reports
+	methodHold     = "hold"
+	methodRefuse   = "refuse"
+	methodIsolate  = "isolate"
+	isolateTimeout = 300 * time.Millisecond
+	peerTimeout    = time.Second
+	idlePoll       = 20 * time.Millisecond
+	leaveTimeout   = 5 * time.Second
+	closeTimeout   = 2 * time.Second
+	leastDemand    = 0.01 // tokens a second below which a customer is left out of reports
 )
 
 // VM is one running VM.
@@ -120,12 +122,20 @@
 
 func (v *VM) buildMeter(inc id.Incarnation) {
 	a := v.authority
-	v.meter = &billing.Meter{VM: a.VM(), Incarnation: inc, Committed: a.State().Count, Send: v.sendCounts}
+	v.meter = &billing.Meter{VM: a.VM(), Incarnation: inc, Send: v.sendCounts}
 	a.OnUsage(v.meter.Readings)
+	a.OnCounted(v.meter.Counted)
 	peer.Handle(v.transport, methodHold, func(_ context.Context, _ id.VM, list []usage.Reading) (bool, error) {
 		v.meter.Hold(list)
 		return true, nil
 	})
+	peer.Handle(v.transport, methodIsolate, func(_ context.Context, _ id.VM, r isolation) (bool, error) {
+		if !r.Enter {
+			v.refused.Leave(r.Upstream, r.Print)
+			return true, nil
+		}
+		return v.refused.Enter(clock.Boot(), r.Upstream, r.Print), nil
+	})
 	peer.Handle(v.transport, methodRefuse, func(_ context.Context, _ id.VM, r refusedPrint) (bool, error) {
 		v.refused.Refuse(clock.Boot(), r.Print, r.Hold)
 		return true, nil
@@ -138,6 +148,45 @@
 	Hold  time.Duration    `cbor:"2,keyasint"`
 }
 
+// isolation reserves an upstream for one suspect, or frees it.
+type isolation struct {
+	Upstream id.Upstream      `cbor:"1,keyasint"`
+	Print    quarantine.Print `cbor:"2,keyasint"`
+	Enter    bool             `cbor:"3,keyasint,omitempty"`
+}
+
+// reserve asks the other VMs of the data centre to keep u for the suspect p, or to free it. A VM that does not answer
+// in time does not object.
+func (v *VM) reserve(u id.Upstream, p quarantine.Print, enter bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), isolateTimeout)
+	defer cancel()
+	var refused atomic.Bool
+	var wg sync.WaitGroup
+	for _, to := range v.neighbours() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ok, err := peer.Call[bool](ctx, v.transport, to, methodIsolate, isolation{Upstream: u, Print: p, Enter: enter})
+			if err == nil && !ok {
+				refused.Store(true)
+			}
+		}()
+	}
+	wg.Wait()
+	return !refused.Load()
+}
+
+// neighbours returns the peer addresses of the other VMs of the data centre.
+func (v *VM) neighbours() []string {
+	var list []string
+	for vm, m := range v.authority.State().Members() {
+		if vm != v.authority.VM() && m.Zone == v.authority.Zone() {
+			list = append(list, m.Peer)
+		}
+	}
+	return list
+}
+
 // buddy returns the VM that keeps copies of this VM's counts: the next one by name in the data centre.
 func (v *VM) buddy() (string, bool) {
 	self := v.authority.VM()
@@ -171,15 +220,12 @@
 
 // tellRefused tells the VMs of the data centre about a quarantined request.
 func (v *VM) tellRefused(p quarantine.Print, hold time.Duration) {
-	for vm, m := range v.authority.State().Members() {
-		if vm == v.authority.VM() || m.Zone != v.authority.Zone() {
-			continue
-		}
+	for _, to := range v.neighbours() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 			defer cancel()
-			if _, err := peer.Call[bool](ctx, v.transport, m.Peer, methodRefuse, refusedPrint{p, hold}); err != nil {
-				klog.InfoS("Quarantine not told", "peer", m.Peer, "err", err)
+			if _, err := peer.Call[bool](ctx, v.transport, to, methodRefuse, refusedPrint{p, hold}); err != nil {
+				klog.InfoS("Quarantine not told", "peer", to, "err", err)
 			}
 		}()
 	}
@@ -213,7 +259,7 @@
 
 func (v *VM) buildCaller(inc id.Incarnation) {
 	a := v.authority
-	d := &dispatch.Dispatcher{Roster: v.roster, Client: upstream.New(), Quarantine: v.refused, Refused: v.tellRefused}
+	d := &dispatch.Dispatcher{Roster: v.roster, Client: upstream.New(), Quarantine: v.refused, Refused: v.tellRefused, Reserve: v.reserve}
 	if v.cfg.Route.Policy == "naive" {
 		d.Pick = route.Naive
 	}
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -65,6 +65,7 @@
 	demand    func(now time.Duration) []Demand
 	readings  func() []usage.Reading
 	onShares  func([]Share)
+	onCounted func([]usage.Reading)
 	report    chan struct{}
 
 	addresses sync.Map // quorum.Node to string
@@ -83,7 +84,7 @@
 		opt: opt, feed: newFeed(), report: make(chan struct{}, 1), stopped: make(chan struct{}),
 		demand:   func(time.Duration) []Demand { return nil },
 		readings: func() []usage.Reading { return nil },
-		onShares: func([]Share) {},
+		onShares: func([]Share) {}, onCounted: func([]usage.Reading) {},
 	}
 	a.leader = newLeader(a)
 	if opt.Folder != "" {
@@ -129,6 +130,9 @@
 // OnUsage sets the function that returns the usage readings to report. It is set before Run.
 func (a *Authority) OnUsage(f func() []usage.Reading) { a.readings = f }
 
+// OnCounted sets the function that learns which usage readings are committed. It is set before Run.
+func (a *Authority) OnCounted(f func([]usage.Reading)) { a.onCounted = f }
+
 // OnShares sets the function that applies this VM's shares. It is set before Run.
 func (a *Authority) OnShares(f func([]Share)) { a.onShares = f }
 
@@ -294,6 +298,21 @@
 	return a.forward(ctx, to, p)
 }
 
+// Reports returns the sealed usage windows, from a control VM where this VM only follows.
+func (a *Authority) Reports(ctx context.Context) ([]usage.Report, error) {
+	if a.replica != nil {
+		return a.State().Reports(), nil
+	}
+	to, ok := a.upstream()
+	if !ok {
+		return nil, ErrNoQuorum
+	}
+	return peer.Call[[]usage.Report](ctx, a.opt.Transport, to, methodReports, empty{})
+}
+
+// Control reports whether this VM has a part of the replicated log.
+func (a *Authority) Control() bool { return a.replica != nil }
+
 // Fresh waits until everything committed before the call is applied on this VM.
 func (a *Authority) Fresh(ctx context.Context) error {
 	i, err := a.fresh(ctx, freshRequest{})
@@ -320,8 +339,8 @@
 
 func (a *Authority) fresh(ctx context.Context, q freshRequest) (id.Index, error) {
 	if a.replica != nil && a.replica.Status().Leading {
-		i, err := a.replica.Read(ctx)
-		return id.Index(i), err
+		_, err := a.replica.Read(ctx)
+		return a.feed.Last(), err
 	}
 	to, ok := a.upstream()
 	if !ok || q.Hops >= maxHops {
--- a/internal/services/authority/feed.go
+++ b/internal/services/authority/feed.go
@@ -11,36 +11,46 @@
 // feedLength is the number of applied entries kept for VMs that follow this one.
 const feedLength = 8192
 
-// feed is the state machine together with its latest entries, for the VMs that follow this one.
+// feed is the state machine together with the latest entries that followers apply. Entries that only control VMs apply
+// are left out, so that what a follower receives does not grow with the number of requests.
 type feed struct {
 	*state.Machine
 	mu      sync.Mutex
-	items   []item // consecutive indexes
+	items   []item   // entries for followers, ascending
+	base    id.Index // items is complete after this index
+	last    id.Index // highest index of an entry for followers
+	news    bool     // items has grown since the last Publish
 	changed chan struct{}
 }
 
 func newFeed() *feed { return &feed{Machine: state.New(), changed: make(chan struct{})} }
 
-// Apply executes the entry at i and keeps it for followers.
+// Apply executes the entry at i and keeps it for followers where they apply it.
 func (f *feed) Apply(i quorum.Index, data []byte) state.Result {
 	r := f.Machine.Apply(id.Index(i), data)
+	if !state.Followed(data) {
+		return r
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n := len(f.items); n > 0 && f.items[n-1].Index+1 != id.Index(i) {
-		f.items = nil
-	}
 	f.items = append(f.items, item{Index: id.Index(i), Data: data})
+	f.last, f.news = id.Index(i), true
 	if len(f.items) > 2*feedLength {
+		f.base = f.items[len(f.items)-feedLength-1].Index
 		f.items = append([]item(nil), f.items[len(f.items)-feedLength:]...)
 	}
 	return r
 }
 
-// Publish makes the applied entries visible and wakes followers.
+// Publish makes the applied entries visible and wakes followers where there is something for them.
 func (f *feed) Publish() {
 	f.Machine.Publish()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.news {
+		return
+	}
+	f.news = false
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -58,33 +68,45 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.items = nil
+	f.base = f.Index()
+	f.items, f.last, f.news = nil, f.base, true
 	return nil
 }
 
-// wait returns a channel that is closed at the next Publish.
+// Last returns the highest applied index of an entry that followers apply.
+func (f *feed) Last() id.Index {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
+// wait returns a channel that is closed at the next Publish with something for followers.
 func (f *feed) wait() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.changed
 }
 
-// after returns the entries after i, or a snapshot where they are no longer kept.
+// after returns the entries past i for a follower, or a snapshot where they are no longer kept.
 func (f *feed) after(i id.Index) (feedAnswer, error) {
 	const most = 1000
 	f.mu.Lock()
-	last := f.Index()
-	if i >= last {
+	if i < f.base {
 		f.mu.Unlock()
-		return feedAnswer{}, nil
+		data, err := f.FollowerSnapshot()
+		return feedAnswer{Snapshot: data}, err
 	}
-	if n := len(f.items); n > 0 && f.items[0].Index <= i+1 {
-		k := int(i + 1 - f.items[0].Index)
-		list := append([]item(nil), f.items[k:min(n, k+most)]...)
-		f.mu.Unlock()
-		return feedAnswer{Items: list}, nil
+	a := feedAnswer{Upto: f.last}
+	for _, it := range f.items {
+		if it.Index <= i {
+			continue
+		}
+		if len(a.Items) == most {
+			a.Upto = a.Items[most-1].Index
+			break
+		}
+		a.Items = append(a.Items, it)
 	}
 	f.mu.Unlock()
-	_, data, err := f.Machine.Snapshot()
-	return feedAnswer{Snapshot: data}, err
+	return a, nil
 }
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -201,15 +201,13 @@
 		}
 		a.feed.Publish()
 	}
-	if len(r.Items) == 0 {
-		return nil
-	}
 	for _, it := range r.Items {
-		if at := a.feed.Index(); it.Index != at+1 {
+		if at := a.feed.Index(); it.Index <= at {
 			return errors.Errorf("entry %d follows entry %d", it.Index, at)
 		}
 		a.feed.Apply(quorum.Index(it.Index), it.Data)
 	}
+	a.feed.Skip(r.Upto)
 	a.feed.Publish()
 	a.noteApplied(0)
 	return nil
--- a/internal/services/authority/handle.go
+++ b/internal/services/authority/handle.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
+	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/peer"
@@ -24,6 +25,7 @@
 	peer.Handle(t, methodEnroll, a.onEnroll)
 	peer.Handle(t, methodForce, func(ctx context.Context, _ id.VM, q forceRequest) (Force, error) { return a.force(ctx, q) })
 	peer.Handle(t, methodWithdraw, a.onWithdraw)
+	peer.Handle(t, methodReports, func(ctx context.Context, _ id.VM, _ empty) ([]usage.Report, error) { return a.Reports(ctx) })
 	peer.Handle(t, methodDraw, func(ctx context.Context, _ id.VM, q drawRequest) (drawAnswer, error) { return a.draw(ctx, q) })
 	peer.Handle(t, methodFresh, func(ctx context.Context, _ id.VM, q freshRequest) (freshAnswer, error) {
 		i, err := a.fresh(ctx, q)
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -264,6 +264,7 @@
 	g := Grant{VM: r.VM, Sent: r.Sent}
 	for _, u := range r.Usage {
 		l.counts[u.Source] = l.counts[u.Source].Merge(u.Count)
+		g.Counted = append(g.Counted, usage.Reading{Source: u.Source, Count: l.a.State().Count(u.Source)})
 	}
 	m, ok := members[r.VM]
 	if !ok || m.Incarnation != r.Incarnation {
@@ -276,7 +277,7 @@
 	l.seen[r.VM] = sighting{incarnation: r.Incarnation, at: now, sent: r.Sent, revision: r.Revision}
 	delete(l.gone, r.VM)
 	l.ending = slices.DeleteFunc(l.ending, func(e ending) bool { return e.vm == r.VM })
-	g.Duration, g.Revision, g.Index = vmLease, l.a.Config().Revision, l.a.feed.Index()
+	g.Duration, g.Revision, g.Index = vmLease, l.a.Config().Revision, l.a.feed.Last()
 	for _, d := range r.Demands {
 		div := l.divider(now, d.Customer)
 		div.Report(r.VM, limit.Held{Wanted: d.Wanted, Part: limit.Part{Rate: d.Rate, Burst: d.Burst}, Back: d.Back})
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -21,6 +21,7 @@
 	methodWithdraw = "withdraw"
 	methodDraw     = "draw"
 	methodFresh    = "fresh"
+	methodReports  = "reports"
 )
 
 // logMessages carries messages of the replicated log.
@@ -34,10 +35,11 @@
 	After id.Index `cbor:"1,keyasint"`
 }
 
-// feedAnswer carries a snapshot, where the entries are gone, and entries.
+// feedAnswer carries a snapshot, where the entries are gone, or the entries for followers up to an index.
 type feedAnswer struct {
-	Snapshot []byte `cbor:"1,keyasint,omitempty"`
-	Items    []item `cbor:"2,keyasint,omitempty"`
+	Snapshot []byte   `cbor:"1,keyasint,omitempty"`
+	Items    []item   `cbor:"2,keyasint,omitempty"`
+	Upto     id.Index `cbor:"3,keyasint,omitempty"`
 }
 
 // item is one applied entry.
@@ -81,13 +83,14 @@
 
 // Grant answers a report. A zero Duration grants nothing.
 type Grant struct {
-	VM       id.VM         `cbor:"1,keyasint"`
-	Sent     time.Duration `cbor:"2,keyasint"`
-	Duration time.Duration `cbor:"3,keyasint"`
-	Revision id.Revision   `cbor:"4,keyasint"` // must be applied before the grant counts
-	Index    id.Index      `cbor:"5,keyasint"`
-	Shares   []Share       `cbor:"6,keyasint,omitempty"`
-	Rejoin   bool          `cbor:"7,keyasint,omitempty"` // the VM is no member
+	VM       id.VM           `cbor:"1,keyasint"`
+	Sent     time.Duration   `cbor:"2,keyasint"`
+	Duration time.Duration   `cbor:"3,keyasint"`
+	Revision id.Revision     `cbor:"4,keyasint"` // must be applied before the grant counts
+	Index    id.Index        `cbor:"5,keyasint"`
+	Shares   []Share         `cbor:"6,keyasint,omitempty"`
+	Rejoin   bool            `cbor:"7,keyasint,omitempty"` // the VM is no member
+	Counted  []usage.Reading `cbor:"8,keyasint,omitempty"` // committed counts of the sources reported
 }
 
 type reports struct {
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -58,6 +58,7 @@
 
 // accept takes a grant. It counts only once this VM has applied the revision that the leader stood at.
 func (a *Authority) accept(ctx context.Context, g Grant) {
+	a.onCounted(g.Counted)
 	if g.Rejoin {
 		if err := a.join(ctx); err != nil {
 			klog.V(1).InfoS("Join failed", "vm", a.opt.VM, "err", err)
--- a/internal/services/billing/meter.go
+++ b/internal/services/billing/meter.go
@@ -29,14 +29,12 @@
 	VM          id.VM
 	Incarnation id.Incarnation
 	// Send copies readings to a VM of the same data centre; nil keeps no copy.
-	Send func(ctx context.Context, list []usage.Reading) error
-	// Committed returns the committed count of a source.
-	Committed func(src usage.Source) usage.Count
-
+	Send     func(ctx context.Context, list []usage.Reading) error
 	counters sync.Map // pair to *counter
 
 	mu      sync.Mutex
 	held    map[usage.Source]usage.Count // for other VMs
+	counted map[usage.Source]usage.Count // committed, of this VM's own
 	running bool
 	waiting []chan struct{}
 }
@@ -67,32 +65,36 @@
 	return list
 }
 
-// Readings returns the counts, own and held, that are ahead of the committed ones.
+// Readings returns the counts, own and held, that are not known to be committed.
 func (m *Meter) Readings() []usage.Reading {
 	list := m.own()
 	m.mu.Lock()
-	for src, c := range m.held {
-		list = append(list, usage.Reading{Source: src, Count: c})
-	}
-	m.mu.Unlock()
+	defer m.mu.Unlock()
 	var ahead []usage.Reading
 	for _, r := range list {
-		done := m.Committed(r.Source)
-		if done.Merge(r.Count) != done {
+		if done := m.counted[r.Source]; done.Merge(r.Count) != done {
 			ahead = append(ahead, r)
-		} else if r.Source.VM != m.VM || r.Source.Incarnation != m.Incarnation {
-			m.forget(r)
 		}
 	}
+	for src, c := range m.held {
+		ahead = append(ahead, usage.Reading{Source: src, Count: c})
+	}
 	return ahead
 }
 
-// forget drops a held count that is committed.
-func (m *Meter) forget(r usage.Reading) {
+// Counted learns which counts are committed. Held ones are dropped, own ones no longer reported.
+func (m *Meter) Counted(list []usage.Reading) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.held[r.Source] == r.Count {
-		delete(m.held, r.Source)
+	if m.counted == nil {
+		m.counted = map[usage.Source]usage.Count{}
+	}
+	for _, r := range list {
+		if r.Source.VM == m.VM && r.Source.Incarnation == m.Incarnation {
+			m.counted[r.Source] = m.counted[r.Source].Merge(r.Count)
+		} else if held, ok := m.held[r.Source]; ok && held.Merge(r.Count) == r.Count {
+			delete(m.held, r.Source)
+		}
 	}
 }
 
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -31,7 +31,9 @@
 	headerLoad    = "Wagtaillift-Load"
 	roomPoll      = 2 * time.Millisecond
 	retryAfter    = time.Second
-	backlog       = 0.1 // most load queued at an engine, as a multiple of its memory
+	backlog       = 0.1              // most load queued at an engine, as a multiple of its memory
+	begunWait     = 10 * time.Second // longest wait for room of a request that has begun
+	suspectPause  = 20 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
 	tokenTimeout  = 5 * time.Second // silence inside a stream before it is resumed elsewhere
 	budgetBurst   = 20              // retries a customer and service may make at once
@@ -44,6 +46,9 @@
 	Quarantine *quarantine.List
 	// Refused is called when a request was quarantined here, to tell the other VMs.
 	Refused func(p quarantine.Print, hold time.Duration)
+	// Reserve keeps an upstream for one suspect on the other VMs of the data centre, or frees it; nil asks nobody. It
+	// returns false where another suspect runs there.
+	Reserve func(u id.Upstream, p quarantine.Print, enter bool) bool
 	// Pick chooses the upstream; nil means route.Pick.
 	Pick func(now time.Duration, list []*roster.Upstream, q *route.Query) route.Choice
 
@@ -74,6 +79,7 @@
 		return ch
 	}
 	if again { // a request that has begun does not queue behind those that have not
+		q.Begun = true
 		if ch := try(); ch.Upstream != nil {
 			return ch, leave, nil
 		}
@@ -83,6 +89,9 @@
 		Weight: c.Config.Resolve(policy.Weight, c.Customer, c.Service.ID).Value,
 	}
 	limit := min(c.Config.Seconds(policy.Queue, c.Customer, c.Service.ID), time.Until(c.Deadline))
+	if again {
+		limit = min(begunWait, time.Until(c.Deadline))
+	}
 	ch, wait := d.gate(c.Service.ID).enter(ctx, t, limit)
 	if ch.Upstream == nil {
 		return ch, nil, refusePick(c, ch, wait)
@@ -122,7 +131,7 @@
 	suspect := d.Quarantine.Suspect(clock.Boot(), p)
 	if suspect || len(tried) > 0 {
 		q.Avoid = func(u *roster.Upstream) bool {
-			return tried[u.Name] || suspect && d.Quarantine.Busy(u.Name)
+			return tried[u.Name] || suspect && d.Quarantine.Busy(clock.Boot(), u.Name)
 		}
 	}
 	return q
@@ -141,6 +150,16 @@
 	}
 }
 
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // crashed reports whether the upstream's process is gone: it refuses connections, or answers as another incarnation.
 func (d *Dispatcher) crashed(u *roster.Upstream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -176,6 +195,29 @@
 	return b.(*budget)
 }
 
+// isolate reserves u for p where p is a suspect. The returned function frees it.
+func (d *Dispatcher) isolate(u id.Upstream, p quarantine.Print) (free func(), ok bool) {
+	now := clock.Boot()
+	if !d.Quarantine.Suspect(now, p) {
+		return func() {}, true
+	}
+	if !d.Quarantine.Enter(now, u, p) {
+		return nil, false
+	}
+	if d.Reserve == nil {
+		return func() { d.Quarantine.Leave(u, p) }, true
+	}
+	if !d.Reserve(u, p, true) {
+		d.Reserve(u, p, false)
+		d.Quarantine.Leave(u, p)
+		return nil, false
+	}
+	return func() {
+		d.Quarantine.Leave(u, p)
+		go d.Reserve(u, p, false)
+	}, true
+}
+
 // note records an attempt for explaining the decision.
 func note(c *call.Call, ch route.Choice, err error) {
 	a := call.Attempt{Upstream: ch.Upstream.Name, Rule: string(ch.Rule), Load: ch.Load}
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -60,11 +60,16 @@
 	d.budget(c).earn(c.Config.Resolve(policy.Retries, c.Customer, c.Service.ID).Value)
 	var pr progress
 	tried := map[id.Upstream]bool{}
-	for attempt := range maxAttempts {
+	for attempt := 0; attempt < maxAttempts; attempt++ {
 		a, repeat, err := d.plainOnce(ctx, c, &pr, p, tried)
 		if err == nil {
 			return a, nil
 		}
+		if errors.Is(err, errSuspect) && ctx.Err() == nil {
+			attempt-- // nothing was tried
+			sleep(ctx, suspectPause)
+			continue
+		}
 		if !repeat {
 			attempt = maxAttempts - 1
 		}
@@ -87,14 +92,14 @@
 	defer leave()
 	u := ch.Upstream
 	tried[u.Name] = true
-	if d.Quarantine.Suspect(clock.Boot(), p) {
-		if !d.Quarantine.Enter(u.Name, p) {
-			return nil, true, errors.Errorf("upstream %s runs another suspect", u.Name)
-		}
-		defer d.Quarantine.Leave(u.Name, p)
+	free, ok := d.isolate(u.Name, p)
+	if !ok {
+		delete(tried, u.Name)
+		return nil, true, errSuspect
 	}
+	defer free()
 	a, sent, err := d.exchange(ctx, c, u)
-	pr.sent = pr.sent || sent
+	pr.sent, pr.now = pr.sent || sent, sent
 	note(c, ch, err)
 	if err == nil {
 		u.Work.Succeed()
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -32,6 +32,7 @@
 	errCut             = errors.ConstError("the stream ended without its end mark")
 	errForeign         = errors.ConstError("the answer belongs to another request")
 	errOrder           = errors.ConstError("a token is missing or out of order")
+	errSuspect         = errors.ConstError("the upstream runs another suspect")
 	errRefusedByEngine = errors.ConstError("the engine refused the request")
 )
 
--- a/internal/services/emulate/cache.go
+++ b/internal/services/emulate/cache.go
@@ -16,6 +16,7 @@
 	most  int
 	order list.List
 	at    map[uint64]*list.Element
+	note  func(block uint64, kept bool) // told of every change
 }
 
 func (c *lru) clear() {
@@ -44,9 +45,11 @@
 
 func (c *lru) put(h uint64) {
 	c.at[h] = c.order.PushFront(h)
+	c.note(h, true)
 	if c.order.Len() > c.most {
 		last := c.order.Back()
 		delete(c.at, last.Value.(uint64))
+		c.note(last.Value.(uint64), false)
 		c.order.Remove(last)
 	}
 }
--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -111,6 +111,7 @@
 	wake   chan struct{}
 	load   engine.Load // lagged
 	seen   map[string]int
+	events events
 	stats  Stats
 	server *http.Server
 	stop   context.CancelFunc
@@ -142,10 +143,13 @@
 		a.Pieces = 4096
 	}
 	a.State = engine.Ready
-	return &Engine{
+	e := &Engine{
 		opt: opt, ann: a, faults: opt.Faults, rnd: rand.New(rand.NewPCG(opt.Seed, hash.String(a.Name))),
 		seen: map[string]int{}, cache: lru{most: int(a.Pieces) / cacheParts},
 	}
+	e.events.rnd = rand.New(rand.NewPCG(opt.Seed, 1))
+	e.cache.note = func(block uint64, kept bool) { e.events.add(time.Now(), block, kept) }
+	return e
 }
 
 // Start listens on the announced address, or a free port where it ends in :0, and announces the engine.
--- a/internal/services/emulate/http.go
+++ b/internal/services/emulate/http.go
@@ -36,6 +36,7 @@
 	})
 	mux.HandleFunc("GET /v1/state", e.state)
 	mux.HandleFunc("POST /v1/orders", e.take)
+	mux.HandleFunc("GET /v1/events", e.publish)
 	mux.HandleFunc("POST /v1/kv/export", e.export)
 	mux.HandleFunc("POST /v1/kv/import", e.importKV)
 	mux.HandleFunc("POST /emulate/faults", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/services/order/order.go
+++ b/internal/services/order/order.go
@@ -38,6 +38,7 @@
 	State() *state.Machine
 	Propose(ctx context.Context, c state.Command) (state.Result, error)
 	Leased(now, autonomy time.Duration) bool
+	Control() bool // whether this VM has a part of the replicated log
 }
 
 // Options are what the service works with.
@@ -93,8 +94,8 @@
 	if h, ok := s.keep(ctx, lease.Engines(zone)); ok {
 		s.finishPending(ctx, h, zone)
 	}
-	if s.opt.Platform == "" {
-		return
+	if s.opt.Platform == "" || !s.opt.Authority.Control() {
+		return // only control VMs know the usage
 	}
 	if h, ok := s.keep(ctx, lease.Platform); ok {
 		s.seal(ctx, h)
--- a/internal/services/order/order_test.go
+++ b/internal/services/order/order_test.go
@@ -53,6 +53,7 @@
 func (v *vm) Zone() id.Zone                            { return "a" }
 func (v *vm) Incarnation() id.Incarnation              { return 1 }
 func (v *vm) State() *state.Machine                    { return v.log.m }
+func (v *vm) Control() bool                            { return true }
 func (v *vm) Leased(time.Duration, time.Duration) bool { return true }
 
 func (v *vm) Propose(_ context.Context, c state.Command) (state.Result, error) {
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -19,6 +19,7 @@
 	crashesToRefuse = 2
 	suspicion       = 10 * time.Minute
 	maxPrints       = 10000
+	reservation     = 2 * time.Minute
 )
 
 // Fingerprint returns the print of a request.
@@ -35,7 +36,13 @@
 type List struct {
 	mu      sync.Mutex
 	prints  map[Print]record
-	engines map[id.Upstream]Print // suspect that an engine runs
+	engines map[id.Upstream]held // suspect that an engine runs
+}
+
+// held is an engine's reservation for a suspect. It lapses, because the VM that made it may die.
+type held struct {
+	print Print
+	until time.Duration
 }
 
 // Crash records that p ran on an engine that crashed, and reports whether p is now refused, for hold.
@@ -86,17 +93,17 @@
 	return ok && r.crashes > 0 && now < r.until
 }
 
-// Enter reserves u for the suspect p and reports whether no other suspect runs there.
-func (l *List) Enter(u id.Upstream, p Print) bool {
+// Enter reserves u for the suspect p at now and reports whether no other suspect runs there.
+func (l *List) Enter(now time.Duration, u id.Upstream, p Print) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.engines == nil {
-		l.engines = map[id.Upstream]Print{}
+		l.engines = map[id.Upstream]held{}
 	}
-	if _, taken := l.engines[u]; taken {
+	if h, taken := l.engines[u]; taken && h.print != p && now < h.until {
 		return false
 	}
-	l.engines[u] = p
+	l.engines[u] = held{print: p, until: now + reservation}
 	return true
 }
 
@@ -104,17 +111,17 @@
 func (l *List) Leave(u id.Upstream, p Print) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.engines[u] == p {
+	if l.engines[u].print == p {
 		delete(l.engines, u)
 	}
 }
 
-// Busy reports whether a suspect runs on u.
-func (l *List) Busy(u id.Upstream) bool {
+// Busy reports whether a suspect runs on u at now.
+func (l *List) Busy(now time.Duration, u id.Upstream) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, taken := l.engines[u]
-	return taken
+	h, taken := l.engines[u]
+	return taken && now < h.until
 }
 
 func (l *List) sweep(now time.Duration) {
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -262,6 +262,21 @@
 	r.rebuild(now)
 }
 
+// Leaving reports whether n has announced that it leaves.
+func (r *Roster) Leaving(n id.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h, ok := r.own.list[n]; ok && h.announcement.State == engine.Leaving {
+		return true
+	}
+	for _, s := range r.peers {
+		if h, ok := s.list[n]; ok && h.announcement.State == engine.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Vouch returns this VM's word; full includes the list.
 func (r *Roster) Vouch(full bool) Vouch {
 	r.mu.Lock()
--- a/internal/services/route/route.go
+++ b/internal/services/route/route.go
@@ -28,6 +28,7 @@
 	Bound      float64 // load bound, as a multiple of the mean
 	Backlog    float64 // most load that may be queued, as a multiple of an engine's memory
 	PreferRole engine.Role
+	Begun      bool    // part of the answer is delivered: it goes on even where the service level is lost
 	Cheap      float64 // part of the work aimed at cheap upstreams; decides with Draw
 	Draw       float64 // uniform in [0, 1)
 	Avoid      func(*roster.Upstream) bool
@@ -84,7 +85,7 @@
 		}
 		size := memory(u)
 		load := ratio(u.Work.Load(now)+q.Pieces, size)
-		if load > 1+q.Backlog || u.Model != "" && !u.Work.Room() {
+		if !q.Begun && (load > 1+q.Backlog || u.Model != "" && !u.Work.Room()) {
 			continue
 		}
 		if least == nil || load < lowest {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the loopback fleet through calm, a shift of the mix, a burst of one customer, a killed VM, a crashed engine and a
-# stopped VM, and prints lines `name value unit`. About three minutes.
+# Runs the loopback fleet through calm, a shift of the mix, a burst of one customer, killed VMs, crashed engines, a
+# zone-wide reclaim, a frozen lease holder and a stopped VM, and prints lines `name value unit`. About five minutes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
@@ -25,6 +25,30 @@
 load shift --long 20s --shift $(all)
 load surge --long 20s --surge chakra $(all)
 
+# All cheap engines of a data centre are reclaimed at one second's notice and come back ten seconds later.
+load reclaim --long 12s $(all) &
+work=$!
+sleep 3
+curl -s -X POST "http://127.0.0.1:$((BASE + 8))/reclaim?zone=b&notice=1s&back=10s" > /dev/null
+wait "$work"
+
+# A request that crashes each engine that runs it, sent again by its caller.
+load crash --long 8s $(all) &
+work=$!
+for i in 1 2 3; do
+    curl -s -m 20 -o /dev/null -w 'crashing_request_status %{http_code} status\n' "$(caller_of "$i")/v1/chat/completions" \
+        -H "Authorization: Bearer $(cat "$RUN/keys/lake")" \
+        -d '{"model":"verdict","max_tokens":50,"messages":[{"role":"user","content":"crash-this-engine"}]}'
+done
+wait "$work"
+
+# The holder of the platform's lease is frozen for longer than its lease and goes on.
+holder=$(admin state | tr -d ' ",' | awk -F: '$1 == "name" && $2 == "platform" {getline; print $2}')
+kill -STOP "${PIDS[$holder]}"
+sleep 12
+kill -CONT "${PIDS[$holder]}"
+sleep 3
+
 # A VM is stopped gracefully: the health check fails, the balancer leaves it out, nothing is cut.
 load stop --long 12s $(targets 1 2 3 4 5 6 7) &
 work=$!
@@ -60,4 +84,7 @@
 curl -s "http://127.0.0.1:$((BASE + 9))/emulate/stats" | tr ',{}' '\n\n\n' | awk -F: '
     /"conflicts"/ {print "report_conflicts", $2, "windows"} /"stale"/ {print "stale_reports", $2, "reports"}
     /"windows"/ {print "reported_windows", $2, "windows"}'
+curl -s "http://127.0.0.1:$((BASE + 8))/stats" | tr '{},' '\n\n\n' | awk -F: '
+    /cheap/ {k = "c"} /other/ {k = "o"} /"generated"/ {n[k] = $2} /"crashes"/ {x += $2}
+    END {printf "cheap_share %.3f ratio\nengine_crashes %d engines\n", n["c"] / (n["c"] + n["o"]), x}'
 "$BIN" report burn --server "$(operator_of 2)" --server "$(operator_of 3)" --format html --out "$RUN/burn.html"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -79,7 +79,7 @@
         done
         apps="$apps{\"name\":\"app-$z\",\"zone\":\"$z\",\"address\":\"127.0.0.1:0\",\"service\":\"booking\",\"announce\":$(announce_list $z),\"delay\":\"5ms\"},"
     done
-    echo "{\"keyfile\":\"$RUN/keys/upstream\",\"platform\":\"127.0.0.1:$((BASE + 9))\",\"seed\":${SEED:-1},\"engines\":[${engines%,}],\"apps\":[${apps%,}]}" > "$RUN/plan.json"
+    echo "{\"keyfile\":\"$RUN/keys/upstream\",\"platform\":\"127.0.0.1:$((BASE + 9))\",\"control\":\"127.0.0.1:$((BASE + 8))\",\"seed\":${SEED:-1},\"engines\":[${engines%,}],\"apps\":[${apps%,}]}" > "$RUN/plan.json"
 }
 
 # wait_for SECONDS COMMAND... repeats a command until it succeeds.
