Administration, usage over a killed VM, and racing bookings proved end to end

Cause: the API's conflicts, roles and reasons, and the way of usage from engine to platform, were proved only in parts.

--- a/internal/routers/vm/vm_test.go
+++ b/internal/routers/vm/vm_test.go
@@ -48,6 +48,7 @@
 
 // fleet is a few VMs in one process with their stand-ins.
 type fleet struct {
+	opt     fleetOptions
 	t       testing.TB
 	folder  string
 	vms     []*VM
@@ -59,10 +60,18 @@
 	ctx     context.Context
 }
 
+// fleetOptions are what a test sets in the VMs' settings.
+type fleetOptions struct {
+	platform string
+	window   time.Duration
+}
+
 // newFleet starts n VMs of one data centre; the first is the only voter.
-func newFleet(t testing.TB, n int) *fleet {
+func newFleet(t testing.TB, n int) *fleet { return (&fleetOptions{}).start(t, n) }
+
+func (o *fleetOptions) start(t testing.TB, n int) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{t: t, folder: t.TempDir(), secrets: map[string]string{}, ledger: &emulate.Ledger{}, ctx: ctx}
+	f := &fleet{t: t, opt: *o, folder: t.TempDir(), secrets: map[string]string{}, ledger: &emulate.Ledger{}, ctx: ctx}
 	require.NoError(t, cert.NewCA(f.path("ca"), "test", time.Now(), time.Hour))
 	t.Cleanup(func() {
 		for _, stop := range f.stops {
@@ -128,6 +137,10 @@
 	}
 	cfg.Peers.Cert = f.path(cfg.VM, "cert")
 	cfg.Stop.Lead = 10 * time.Millisecond
+	cfg.Bill.Platform = f.opt.platform
+	if f.opt.window > 0 {
+		cfg.Bill.Window = f.opt.window
+	}
 	if i == 0 {
 		cfg.Data.Folder = f.path(cfg.VM, "data")
 	} else {
@@ -163,6 +176,12 @@
 	}
 }
 
+// kill ends VM i without a goodbye: its peers hear nothing more of it.
+func (f *fleet) kill(i int) {
+	f.vms[i].transport.Close()
+	f.stops[i]()
+}
+
 func (f *fleet) until(what string, ok func() bool) {
 	f.t.Helper()
 	end := time.Now().Add(waitLimit)
