Circuits and limits judged by rates, not by single answers

Circuits opened at three failures in a row, which happens by chance every few seconds at that rate and took a third of the engines away; a limit fell at each single bad answer. Change: five failures in a row open a circuit; limits fall only while more than a tenth of the latest answers missed the service level; first limit 4, factor 0.8; begun requests wait for room until their deadline; the stand-in announces a change of state at once.

--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -31,8 +31,7 @@
 	headerLoad    = "Wagtaillift-Load"
 	roomPoll      = 2 * time.Millisecond
 	retryAfter    = time.Second
-	backlog       = 0.1              // most load queued at an engine, as a multiple of its memory
-	begunWait     = 10 * time.Second // longest wait for room of a request that has begun
+	backlog       = 0.1 // most load queued at an engine, as a multiple of its memory
 	suspectPause  = 20 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
 	tokenTimeout  = 5 * time.Second // silence inside a stream before it is resumed elsewhere
@@ -85,12 +84,12 @@
 		}
 	}
 	t := &ticket{
-		Key: c.Customer, Cost: float64(c.Prompt + c.Output), Value: &waiter{try: try},
+		Key: c.Customer, Cost: float64(c.Prompt + c.Output), Value: &waiter{try: try, begun: again},
 		Weight: c.Config.Resolve(policy.Weight, c.Customer, c.Service.ID).Value,
 	}
-	limit := min(c.Config.Seconds(policy.Queue, c.Customer, c.Service.ID), time.Until(c.Deadline))
-	if again {
-		limit = min(begunWait, time.Until(c.Deadline))
+	limit := time.Until(c.Deadline)
+	if !again {
+		limit = min(limit, c.Config.Seconds(policy.Queue, c.Customer, c.Service.ID))
 	}
 	ch, wait := d.gate(c.Service.ID).enter(ctx, t, limit)
 	if ch.Upstream == nil {
--- a/internal/services/dispatch/gate.go
+++ b/internal/services/dispatch/gate.go
@@ -18,8 +18,9 @@
 
 // waiter is a request that waits for room.
 type waiter struct {
-	try  func() route.Choice
-	done chan route.Choice // answered once
+	try   func() route.Choice
+	begun bool              // part of the answer is delivered: it waits whatever the estimate says
+	done  chan route.Choice // answered once
 }
 
 type ticket = fair.Ticket[id.Customer, *waiter]
@@ -46,7 +47,7 @@
 	}
 	t.Value.done = make(chan route.Choice, 1)
 	g.mu.Lock()
-	if wait := g.estimate(t); wait > limit {
+	if wait := g.estimate(t); wait > limit && !t.Value.begun {
 		g.mu.Unlock()
 		return route.Choice{Rule: route.Full}, wait
 	}
--- a/internal/services/emulate/app.go
+++ b/internal/services/emulate/app.go
@@ -87,7 +87,7 @@
 	ctx, a.silent = context.WithCancel(ctx)
 	a.mu.Unlock()
 	go srv.Serve(l)
-	go announceLoop(ctx, a.Announce, a.Key, func() engine.Announcement {
+	go announceLoop(ctx, a.Announce, a.Key, nil, func() engine.Announcement {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		n := a.Announcement
--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -94,28 +94,29 @@
 
 // Engine is one emulated engine.
 type Engine struct {
-	opt    Options
-	mu     sync.Mutex
-	rnd    *rand.Rand
-	queue  []*sequence
-	run    []*sequence
-	used   int64 // pieces
-	serial uint64
-	cache  lru
-	faults Faults
-	ann    engine.Announcement
-	fence  id.Fence
-	order  id.Index
-	refuse bool // takes no requests: changing, draining or crashed
-	active int  // requests inside handlers
-	wake   chan struct{}
-	load   engine.Load // lagged
-	seen   map[string]int
-	events events
-	stats  Stats
-	server *http.Server
-	stop   context.CancelFunc
-	ctx    context.Context
+	opt     Options
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	queue   []*sequence
+	run     []*sequence
+	used    int64 // pieces
+	serial  uint64
+	cache   lru
+	faults  Faults
+	ann     engine.Announcement
+	fence   id.Fence
+	order   id.Index
+	refuse  bool // takes no requests: changing, draining or crashed
+	active  int  // requests inside handlers
+	wake    chan struct{}
+	changed chan struct{} // the state has changed
+	load    engine.Load   // lagged
+	seen    map[string]int
+	events  events
+	stats   Stats
+	server  *http.Server
+	stop    context.CancelFunc
+	ctx     context.Context
 }
 
 // Stats are what an engine has done.
@@ -147,6 +148,7 @@
 		opt: opt, ann: a, faults: opt.Faults, rnd: rand.New(rand.NewPCG(opt.Seed, hash.String(a.Name))),
 		seen: map[string]int{}, cache: lru{most: int(a.Pieces) / cacheParts},
 	}
+	e.changed = make(chan struct{}, 1)
 	e.events.rnd = rand.New(rand.NewPCG(opt.Seed, 1))
 	e.cache.note = func(block uint64, kept bool) { e.events.add(time.Now(), block, kept) }
 	return e
@@ -173,7 +175,7 @@
 	go srv.Serve(l)
 	go e.schedule(inner)
 	go e.reportLoop(inner)
-	go announceLoop(inner, e.opt.Announce, e.opt.Key, e.announcement)
+	go announceLoop(inner, e.opt.Announce, e.opt.Key, e.changed, e.announcement)
 	return nil
 }
 
@@ -242,10 +244,19 @@
 	})
 }
 
+// setState changes the announced state and announces it at once. The caller holds the lock.
+func (e *Engine) setState(s engine.State) {
+	e.ann.State = s
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Leave drains the engine: it announces that it leaves, finishes what runs and stops.
 func (e *Engine) Leave(ctx context.Context) {
 	e.mu.Lock()
-	e.ann.State = engine.Leaving
+	e.setState(engine.Leaving)
 	e.mu.Unlock()
 	e.idle(ctx)
 	e.mu.Lock()
--- a/internal/services/emulate/events.go
+++ b/internal/services/emulate/events.go
@@ -70,7 +70,7 @@
 		e.mu.Unlock()
 		return false
 	}
-	e.ann.State = engine.Leaving
+	e.setState(engine.Leaving)
 	e.opt.Restart = back
 	ctx := e.ctx
 	e.mu.Unlock()
--- a/internal/services/emulate/http.go
+++ b/internal/services/emulate/http.go
@@ -236,7 +236,7 @@
 	}
 	e.fence, e.order = max(e.fence, o.Fence), o.ID
 	e.stats.Changes++
-	e.ann.State = engine.Leaving
+	e.setState(engine.Leaving)
 	go e.change(o.Kind, o.Value)
 	w.WriteHeader(http.StatusAccepted)
 }
@@ -258,7 +258,7 @@
 		e.ann.Model = id.Model(value)
 	}
 	if kind != order.Drain {
-		e.ann.State = engine.Ready
+		e.setState(engine.Ready)
 	}
 }
 
@@ -305,7 +305,7 @@
 const announceEvery = 500 * time.Millisecond
 
 // announceLoop announces an upstream to one of the listeners, the next one where it fails.
-func announceLoop(ctx context.Context, to []string, key string, get func() engine.Announcement) {
+func announceLoop(ctx context.Context, to []string, key string, wake <-chan struct{}, get func() engine.Announcement) {
 	if len(to) == 0 {
 		return
 	}
@@ -320,6 +320,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-wake: // the state has changed
 		case <-time.After(announceEvery):
 		}
 	}
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -43,19 +43,22 @@
 	failures atomic.Int64  // consecutive
 	openTill atomic.Int64  // circuit, by the VM's clock in nanoseconds
 	limit    atomic.Uint64 // requests at once from this VM, float bits; zero means firstLimit
+	bad      atomic.Uint64 // moving average of answers that missed the service level, float bits
 	settled  atomic.Bool   // the limit has been lowered once
 	lowered  atomic.Int64  // when, by the VM's clock in nanoseconds
 }
 
 const (
 	loadMemory   = 3 * time.Second // a report older than this counts half
-	circuitAfter = 3               // consecutive failures
+	circuitAfter = 5               // consecutive failures
 	circuitOpen  = 2 * time.Second
 
-	firstLimit  = 8.0
+	firstLimit  = 4.0
 	leastLimit  = 1.0
 	mostLimit   = 512.0
-	lowerBy     = 0.9
+	lowerBy     = 0.8
+	badWeight   = 1.0 / 16 // of the latest answer in the moving average
+	badLimit    = 0.1      // average from which on the limit is lowered; the service level allows 0.05
 	lowerPeriod = 250 * time.Millisecond
 )
 
@@ -74,6 +77,14 @@
 // and Jain 1989), doubling until the first decrease. A limit that is not in use does not grow.
 func (w *Work) Learn(now time.Duration, good bool) {
 	old := w.Limit()
+	bad := math.Float64frombits(w.bad.Load()) * (1 - badWeight)
+	if !good {
+		bad += badWeight
+	}
+	w.bad.Store(math.Float64bits(bad))
+	if good == (bad > badLimit) {
+		return
+	}
 	if good {
 		if float64(w.Requests.Load()) < old/2 {
 			return
