Slow bodies, the limit of a stop, and version orders

Cause: a body that stopped arriving held its request without an end; the limit of a graceful stop had no test; the emulator knew no orders for versions. Change: bodies that are read whole must arrive within caller.slow, else 408 as not run with the connection closed.

--- a/internal/models/order/order.go
+++ b/internal/models/order/order.go
@@ -15,6 +15,7 @@
 	SetRole     Kind = "role"
 	LoadModel   Kind = "model"
 	LoadAdapter Kind = "adapter"
+	SetVersion  Kind = "version"
 	Drain       Kind = "drain"
 )
 
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -271,7 +271,7 @@
 	v.caller = &caller.Handler{
 		Config: a.Config,
 		Filters: []pipeline.Filter{
-			pipeline.Authenticate(a), pipeline.Classify(int64(v.cfg.Caller.Body)), pipeline.Limit(v.limiter),
+			pipeline.Authenticate(a), pipeline.Classify(pipeline.Bounds{Body: int64(v.cfg.Caller.Body), Slow: v.cfg.Caller.Slow}), pipeline.Limit(v.limiter),
 		},
 		Dispatcher: d, Claims: &pipeline.Claims{Proposer: a, VM: a.VM(), Incarnation: inc},
 		Meter: v.meter, Limiter: v.limiter, Recorder: v, Stopping: &v.stopping, Unhealthy: &v.unhealthy,
--- a/internal/routers/vm/vm_test.go
+++ b/internal/routers/vm/vm_test.go
@@ -1,12 +1,14 @@
 package vm
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -64,6 +66,8 @@
 type fleetOptions struct {
 	platform string
 	window   time.Duration
+	slow     time.Duration
+	limit    time.Duration
 }
 
 // newFleet starts n VMs of one data centre; the first is the only voter.
@@ -138,8 +142,13 @@
 	cfg.Peers.Cert = f.path(cfg.VM, "cert")
 	cfg.Stop.Lead = 10 * time.Millisecond
 	cfg.Bill.Platform = f.opt.platform
-	if f.opt.window > 0 {
-		cfg.Bill.Window = f.opt.window
+	for _, o := range []struct {
+		to    *time.Duration
+		value time.Duration
+	}{{&cfg.Bill.Window, f.opt.window}, {&cfg.Caller.Slow, f.opt.slow}, {&cfg.Stop.Limit, f.opt.limit}} {
+		if o.value > 0 {
+			*o.to = o.value
+		}
 	}
 	if i == 0 {
 		cfg.Data.Folder = f.path(cfg.VM, "data")
@@ -398,6 +407,72 @@
 	}
 }
 
+// TestSlowAndTruncatedBodies sends a part of the declared body and then nothing, or closes.
+func TestSlowAndTruncatedBodies(t *testing.T) {
+	f := (&fleetOptions{slow: time.Second}).start(t, 1)
+	f.engine(0, emulate.Faults{})
+	f.ready(1)
+	send := func() net.Conn {
+		c, err := net.Dial("tcp", strings.TrimPrefix(f.vms[0].CallerURL(), "http://"))
+		require.NoError(t, err)
+		fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", f.secrets["one"])
+		return c
+	}
+	t.Run("slow", func(t *testing.T) {
+		c := send()
+		defer c.Close()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		requireRefusal(t, resp, string(body), http.StatusRequestTimeout, call.Slow, call.No)
+	})
+	t.Run("truncated", func(t *testing.T) {
+		c := send().(*net.TCPConn)
+		defer c.Close()
+		require.NoError(t, c.CloseWrite())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		requireRefusal(t, resp, string(body), http.StatusBadRequest, call.Truncated, call.No)
+	})
+	require.Zero(t, f.engines[0].Stats().Requests)
+}
+
+// TestStopEndsAtItsLimit stops a VM whose stream outlasts the limit, and refuses new requests as not run meanwhile.
+func TestStopEndsAtItsLimit(t *testing.T) {
+	f := (&fleetOptions{limit: time.Second}).start(t, 1)
+	e := f.engine(0, emulate.Faults{})
+	f.ready(1)
+	v := f.vms[0]
+	go http.Post(v.CallerURL()+"/s/open/x", "text/plain", nil)
+	r, err := http.NewRequest("POST", v.CallerURL()+"/v1/chat/completions", strings.NewReader(chat("x", 90000, true)))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+f.secrets["one"])
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	done := make(chan struct{})
+	go func() {
+		f.stops[0]()
+		close(done)
+	}()
+	f.until("the health check fails", func() bool {
+		h, err := http.Get(v.CallerURL() + "/health")
+		if err != nil {
+			return false
+		}
+		h.Body.Close()
+		return h.StatusCode == http.StatusServiceUnavailable
+	})
+	f.until("new requests are refused", v.stopping.Load)
+	refused, body := f.do(v, "POST", "/v1/chat/completions", f.secrets["one"], chat("y", 5, false))
+	requireRefusal(t, refused, body, http.StatusServiceUnavailable, call.Stopping, call.No)
+	<-done
+	require.EqualValues(t, 1, e.Stats().Requests, "a request refused as not run reached the engine")
+}
+
 func TestLargeBodiesAreStreamed(t *testing.T) {
 	f := newFleet(t, 1)
 	f.app("app1", testApp)
--- a/internal/services/call/call.go
+++ b/internal/services/call/call.go
@@ -46,6 +46,7 @@
 	KeyReused    Code = "idempotency_key_reused"
 	UnknownState Code = "outcome_unknown"
 	Truncated    Code = "truncated"
+	Slow         Code = "slow"
 )
 
 // Refusal is the error that a caller sees. Only the dispatcher may say Run is No after the request left the filters.
--- a/internal/services/emulate/http.go
+++ b/internal/services/emulate/http.go
@@ -245,7 +245,7 @@
 func (e *Engine) change(kind order.Kind, value string) {
 	time.Sleep(announceEvery) // the fleet hears that it leaves
 	e.idle(e.ctx)
-	if e.opt.Weights != nil && (kind == order.LoadModel || kind == order.LoadAdapter) {
+	if e.opt.Weights != nil && kind != order.SetRole && kind != order.Drain {
 		e.opt.Weights.Load(e.ctx)
 	}
 	time.Sleep(e.opt.Timing.Change)
@@ -256,6 +256,8 @@
 		e.ann.Role = engine.Role(value)
 	case order.LoadModel:
 		e.ann.Model = id.Model(value)
+	case order.SetVersion:
+		e.ann.Version = value
 	}
 	if kind != order.Drain {
 		e.setState(engine.Ready)
--- a/internal/services/pipeline/pipeline.go
+++ b/internal/services/pipeline/pipeline.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -93,18 +94,24 @@
 	return strings.TrimSpace(secret), true
 }
 
+// Bounds are what a caller may send.
+type Bounds struct {
+	Body int64         // bytes of a model call's body
+	Slow time.Duration // for a body that is read whole to arrive
+}
+
 // Classify reads the request: service, body, size and deadline.
-func Classify(maxBody int64) Filter {
+func Classify(b Bounds) Filter {
 	return func(_ context.Context, c *call.Call) error {
 		if c.Kind == call.Plain {
-			return classifyPlain(c)
+			return classifyPlain(c, b)
 		}
-		return classifyModel(c, maxBody)
+		return classifyModel(c, b)
 	}
 }
 
-func classifyModel(c *call.Call, maxBody int64) error {
-	data, err := readBody(c, maxBody)
+func classifyModel(c *call.Call, b Bounds) error {
+	data, err := readBody(c, b.Body, b.Slow)
 	if err != nil {
 		return err
 	}
@@ -126,16 +133,24 @@
 	return finish(c)
 }
 
-// readBody reads a whole body of at most maxBody bytes.
-func readBody(c *call.Call, maxBody int64) ([]byte, error) {
+// readBody reads a whole body of at most maxBody bytes that arrives within slow.
+func readBody(c *call.Call, maxBody int64, slow time.Duration) ([]byte, error) {
+	rc := http.NewResponseController(c.W)
+	rc.SetReadDeadline(time.Now().Add(slow))
 	data, err := io.ReadAll(http.MaxBytesReader(c.W, c.R.Body, maxBody))
 	var large *http.MaxBytesError
+	if err != nil {
+		c.W.Header().Set("Connection", "close") // the deadline stays, so that nobody waits for the rest
+	}
 	switch {
 	case errors.As(err, &large):
 		return nil, call.Refuse(http.StatusRequestEntityTooLarge, call.TooLarge, "classify", "the body is larger than %d bytes", maxBody)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, call.Refuse(http.StatusRequestTimeout, call.Slow, "classify", "the body did not arrive within %s", slow)
 	case err != nil:
 		return nil, call.Refuse(http.StatusBadRequest, call.Truncated, "classify", "the body ended early: %s", err)
 	}
+	rc.SetReadDeadline(time.Time{})
 	return data, nil
 }
 
@@ -145,7 +160,7 @@
 // PlainTokens is what a plain call counts against its customer's rate.
 const PlainTokens = 1
 
-func classifyPlain(c *call.Call) error {
+func classifyPlain(c *call.Call, b Bounds) error {
 	svc, ok := c.Config.Services[c.Service.ID]
 	if !ok || svc.Kind != service.Plain {
 		return call.Refuse(http.StatusNotFound, call.NoService, "classify", "no service %q", c.Service.ID)
@@ -159,7 +174,7 @@
 	}
 	claimed := c.Token != "" && !c.Idempotent
 	if n := c.R.ContentLength; claimed || n >= 0 && n <= replayBody {
-		data, err := readBody(c, replayBody)
+		data, err := readBody(c, replayBody, b.Slow)
 		if err != nil {
 			return err
 		}
