--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -195,9 +195,10 @@
 	if err := checkStream(resp, c.ID); err != nil {
 		return errors.Annotatef(err, "answer of upstream %s", u.Address)
 	}
-	pace := pace{start: start, before: pr.tokens}
-	err = relay(resp.Body, c.ID, out, pr, &pace, cancel)
-	pace.learn(u, pr.tokens, err)
+	p := pace{work: u.Work, start: start, before: pr.tokens}
+	if err = relay(resp.Body, c.ID, out, pr, &p, cancel); err == nil {
+		p.gaps(pr.tokens)
+	}
 	return errors.Annotatef(err, "stream from upstream %s", u.Address)
 }
 
@@ -209,28 +210,43 @@
 	return &call.Resume{Tokens: pr.tokens, Text: chunksText(pr.chunks.Bytes())}
 }
 
-// pace is how fast one attempt's tokens came.
+// pace is how fast one attempt's tokens come. It tells the engine's limit of concurrency whether the service level is
+// met: at the first token, after the first few, and at the end.
 type pace struct {
+	work   *roster.Work
 	start  time.Time
 	first  time.Time
 	before id.Tokens // delivered by earlier attempts
 }
 
-// learn tells the engine's concurrency limit whether the attempt met the service level.
-func (p *pace) learn(u *roster.Upstream, tokens id.Tokens, err error) {
-	now := time.Now()
-	if err != nil || p.first.IsZero() {
-		return
+// The parts of the service level, in percent, beyond which an engine takes no more work at once, and the token at which
+// the gaps are judged for the first time.
+const (
+	firstMargin = 50
+	gapMargin   = 75
+	earlyTokens = 8
+)
+
+// token notes one token; tokens is the number delivered so far, earlier attempts included.
+func (p *pace) token(tokens id.Tokens) {
+	switch {
+	case p.first.IsZero():
+		p.first = time.Now()
+		p.learn(p.first.Sub(p.start) <= burn.FirstTokenLimit*firstMargin/100)
+	case tokens-p.before == earlyTokens:
+		p.gaps(tokens)
 	}
-	good := p.first.Sub(p.start) <= burn.FirstTokenLimit*firstMargin/100
+}
+
+// gaps judges the mean time between tokens.
+func (p *pace) gaps(tokens id.Tokens) {
 	if n := tokens - p.before; n > 1 {
-		good = good && now.Sub(p.first)/time.Duration(n-1) <= burn.TokenGapLimit*gapMargin/100
+		p.learn(time.Since(p.first)/time.Duration(n-1) <= burn.TokenGapLimit*gapMargin/100)
 	}
-	u.Work.Learn(clock.Boot(), good)
 }
 
-// The parts of the service level, in percent, beyond which an engine takes no more work at once.
-const (
-	firstMargin = 50
-	gapMargin   = 75
-)
+func (p *pace) learn(good bool) {
+	if p.work != nil {
+		p.work.Learn(clock.Boot(), good)
+	}
+}
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -115,13 +115,11 @@
 			continue
 		}
 		watch.Reset(tokenTimeout)
-		if p.first.IsZero() {
-			p.first = time.Now()
-		}
 		done, err := ev.deliver(out, pr)
 		if done || err != nil {
 			return err
 		}
+		p.token(pr.tokens)
 		ev = event{}
 	}
 }
