--- a/internal/modules/hash/hash.go
+++ b/internal/modules/hash/hash.go
@@ -1,8 +1,6 @@
 // Package hash gives the 64-bit mixing functions for placement decisions.
 package hash
 
-import "hash/maphash"
-
 // FNV-1a parameters for 64 bits.
 const (
 	offset64 = 14695981039346656037
@@ -40,8 +38,3 @@
 
 // Pair combines two hashes for rendezvous hashing (Thaler and Ravishankar 1998).
 func Pair(a, b uint64) uint64 { return Mix(a ^ Mix(b)) }
-
-var seed = maphash.MakeSeed()
-
-// Local returns a hash of s that is valid inside this process only.
-func Local(s string) uint64 { return maphash.String(seed, s) }
--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -293,14 +292,3 @@
 	}
 	return conn, nil
 }
-
-// TLSState returns the state of the open connection to address, for tests and diagnostics.
-func (t *Transport) TLSState(address string) (tls.ConnectionState, bool) {
-	l := t.link(address)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn == nil {
-		return tls.ConnectionState{}, false
-	}
-	return l.conn.ConnectionState().TLS, true
-}
--- a/internal/services/burn/burn.go
+++ b/internal/services/burn/burn.go
@@ -23,7 +23,6 @@
 	Available  Objective = "available"  // answered without a fault of the system
 	FirstToken Objective = "firsttoken" // first token within FirstTokenLimit
 	TokenGap   Objective = "tokengap"   // mean time between tokens within TokenGapLimit
-	InRate     Objective = "inrate"     // not refused while inside the customer's rate
 )
 
 // The limits and targets of the objectives.
@@ -38,7 +37,7 @@
 
 // Target returns the part of requests that must meet o.
 func (o Objective) Target() float64 {
-	if o == Available || o == InRate {
+	if o == Available {
 		return availableTarget
 	}
 	return latencyTarget
--- a/internal/services/fair/fair.go
+++ b/internal/services/fair/fair.go
@@ -89,11 +89,6 @@
 	q.n++
 }
 
-// Serve counts cost that a customer was served without waiting.
-func (q *Queue[K, V]) Serve(k K, cost, weight float64) {
-	q.lane(k).counter += cost / max(weight, 1e-9)
-}
-
 // Peek returns the ticket to serve next: the oldest of the customer with the least counter, nil where none waits.
 func (q *Queue[K, V]) Peek() *Ticket[K, V] {
 	var best *lane[K, V]
--- a/internal/services/load/burst.go
+++ b/internal/services/load/burst.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 )
@@ -34,12 +33,3 @@
 	wg.Wait()
 	return out
 }
-
-// Summary returns the whole, wrong, cut and refused answers of list in words.
-func Summary(list []Outcome) string {
-	var t tally
-	for i := range list {
-		t.count(&Options{}, &list[i])
-	}
-	return fmt.Sprintf("%d sent, %d whole, %d wrong, %d cut, %d refused", t.sent, t.whole, t.wrong, t.cut, t.refused)
-}
--- a/internal/services/load/run.go
+++ b/internal/services/load/run.go
@@ -13,8 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/emulate"
 )
@@ -298,11 +296,3 @@
 	o.Cut = err != nil
 	return o.Cut, resendPause
 }
-
-// Check returns an error where opt cannot be run.
-func (o *Options) Check() error {
-	if len(o.Targets) == 0 {
-		return errors.NotValidf("empty list of targets")
-	}
-	return nil
-}
--- a/internal/services/route/route.go
+++ b/internal/services/route/route.go
@@ -6,7 +6,6 @@
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/hash"
-	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -155,12 +154,3 @@
 	}
 	return Choice{Upstream: best, Rule: LeastLoad, Eligible: n}
 }
-
-// Names returns the names in list, for messages.
-func Names(list []*roster.Upstream) []id.Upstream {
-	names := make([]id.Upstream, len(list))
-	for i, u := range list {
-		names[i] = u.Name
-	}
-	return names
-}
