--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -72,6 +72,11 @@
 	var leave func()
 	try := func() route.Choice {
 		ch := f(clock.Boot(), list(), q)
+		if ch.Upstream == nil && q.Retry != nil { // only upstreams that failed before are left
+			loose := *q
+			loose.Avoid = q.Retry
+			ch = f(clock.Boot(), list(), &loose)
+		}
 		if ch.Upstream != nil {
 			leave = d.enter(ch.Upstream, q.Pieces)
 		}
@@ -127,12 +132,15 @@
 	if n := len(c.Prefix); n > 0 {
 		q.Prefix = c.Prefix[min(n-1, prefixBlocks-1)]
 	}
-	suspect := d.Quarantine.Suspect(clock.Boot(), p)
-	if suspect || len(tried) > 0 {
-		q.Avoid = func(u *roster.Upstream) bool {
-			return tried[u.Name] || suspect && d.Quarantine.Busy(clock.Boot(), u.Name)
-		}
+	if d.Quarantine.Suspect(clock.Boot(), p) {
+		q.Avoid = func(u *roster.Upstream) bool { return d.Quarantine.Busy(clock.Boot(), u.Name) }
+	}
+	if len(tried) == 0 {
+		return q
 	}
+	busy := q.Avoid
+	q.Retry = func(u *roster.Upstream) bool { return busy != nil && busy(u) }
+	q.Avoid = func(u *roster.Upstream) bool { return tried[u.Name] || q.Retry(u) }
 	return q
 }
 
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -112,13 +112,7 @@
 	again := len(tried) > 0
 	ch, leave, err := d.pick(ctx, c, list, d.query(c, pieces, p, tried), again)
 	if err != nil {
-		if !again {
-			return err
-		}
-		clear(tried) // every other engine failed too: any may be tried again
-		if ch, leave, err = d.pick(ctx, c, list, d.query(c, pieces, p, tried), again); err != nil {
-			return err
-		}
+		return err
 	}
 	defer leave()
 	u := ch.Upstream
--- a/internal/services/route/route.go
+++ b/internal/services/route/route.go
@@ -31,6 +31,7 @@
 	Cheap      float64 // part of the work aimed at cheap upstreams; decides with Draw
 	Draw       float64 // uniform in [0, 1)
 	Avoid      func(*roster.Upstream) bool
+	Retry      func(*roster.Upstream) bool // takes Avoid's place where nothing else is left
 }
 
 // Choice is the decision with its inputs, for explaining it.
