--- a/internal/services/dispatch/truth_test.go
+++ b/internal/services/dispatch/truth_test.go
@@ -254,3 +254,24 @@
 	require.Positive(t, done)
 	t.Logf("%d answers, %d refused as not run", done, notRun)
 }
+
+// TestFullQueueIsNotRun refuses calls while every application is full: at once where their turn cannot come in time,
+// and never after anything was sent.
+func TestFullQueueIsNotRun(t *testing.T) {
+	b := newBench(t, []fault{answersWell, answersWell})
+	defer b.close()
+	for _, u := range b.d.Roster.Snapshot().All {
+		u.Work.Pieces.Store(1000)
+	}
+	for k := range 8 {
+		text := fmt.Sprint("name=", k)
+		_, err := b.send(http.MethodPost, text, false)
+		var r *call.Refusal
+		require.True(t, errors.As(err, &r))
+		require.Equal(t, call.Busy, r.Code)
+		require.Equal(t, call.No, r.Run)
+		require.Positive(t, r.Retry)
+		some, _ := b.reached(text)
+		require.Zero(t, some)
+	}
+}
