--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -13,6 +13,8 @@
 	"github.com/alexflint/go-arg"
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/modules/output"
 )
 
 // The exit codes, for scripts.
@@ -119,4 +121,9 @@
 	var fs flag.FlagSet
 	klog.InitFlags(&fs)
 	fs.Set("v", fmt.Sprint(verbosity))
+	fs.Set("logtostderr", "false")
+	fs.Set("alsologtostderr", "false")
+	fs.Set("stderrthreshold", "FATAL")
+	fs.Set("one_output", "true")
+	klog.SetOutput(output.New(os.Stdout))
 }
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -1,16 +1,20 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/customer"
 	"wagtaillift/internal/models/engine"
@@ -46,9 +50,45 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, a.Config, v)
 	return v.Run(ctx)
 }
 
+// reloadEvery is how often the settings file is looked at. It may change without a signal.
+const reloadEvery = time.Second
+
+// reload applies the settings file again on SIGHUP and whenever it has changed. A file that cannot be read changes nothing.
+func reload(ctx context.Context, name string, v *vm.VM) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	last, err := os.ReadFile(name)
+	if err != nil {
+		klog.InfoS("Settings not read again", "file", name, "err", err)
+	}
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(name)
+		if err != nil || bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		cfg, err := setting.Load(name)
+		if err != nil {
+			klog.ErrorS(err, "Settings not reloaded", "file", name)
+			continue
+		}
+		v.Reload(cfg)
+	}
+}
+
 type foundArgs struct {
 	Config string `arg:"--config,required" help:"settings file of the first control VM" placeholder:"FILE"`
 	Keys   string `arg:"--keys,required" help:"folder to write the first keys into" placeholder:"FOLDER"`
--- a/internal/models/customer/customer.go
+++ b/internal/models/customer/customer.go
@@ -16,6 +16,9 @@
 	ID     id.Customer `json:"id"`
 	Title  string      `json:"title,omitempty"`
 	Frozen bool        `json:"frozen,omitempty"`
+	Ranked bool        `json:"ranked,omitempty"` // Rank takes precedence over a route's
+	Rank   int         `json:"rank,omitempty"`   // 0 is the most urgent
+	Plain  id.Tokens   `json:"plain,omitempty"`  // what a call that names no tokens counts against the rate
 }
 
 // Check reports the first invalid field of c.
--- a/internal/models/policy/policy.go
+++ b/internal/models/policy/policy.go
@@ -32,6 +32,7 @@
 	Affinity    Field = "affinity"
 	Quarantine  Field = "quarantine"
 	Idempotence Field = "idempotence"
+	Late        Field = "late"
 )
 
 // Spec describes one field: its unit, its bounds, its initial value and its purpose.
@@ -61,6 +62,7 @@
 	{Dwell, "s", 1, 86400, 300, "least time between two role changes of one engine"},
 	{Affinity, "ratio", 1, 10, 1.25, "load bound of prefix locality, as a multiple of the mean"},
 	{Quarantine, "s", 0, 86400, 3600, "how long a request that crashed two engines is refused"},
+	{Late, "ratio", 0.1, 100, 2, "how late, in objectives, a first event is still worth an engine's time; later ones are refused at once"},
 	{Idempotence, "s", 1, 604800, 86400, "how long the answer to an Idempotency-Key is kept"},
 }
 
--- a/internal/models/service/service.go
+++ b/internal/models/service/service.go
@@ -2,6 +2,8 @@
 package service
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/customer"
@@ -28,6 +30,33 @@
 	Repeatable bool `json:"repeatable,omitempty"`
 	// Customers limits the service to these; empty means all.
 	Customers []id.Customer `json:"customers,omitempty"`
+	// Probe is the path that answers whether an upstream is healthy.
+	Probe string `json:"probe,omitempty"`
+	// Connections is how many an upstream accepts from all VMs together; zero means no bound.
+	Connections int `json:"connections,omitempty"`
+	// Engine describes the engines of a model service that is served by its own upstreams.
+	Engine *Engine `json:"engine,omitempty"`
+	// Scale bounds how many upstreams may be ordered; nil means that none are.
+	Scale *Scale `json:"scale,omitempty"`
+}
+
+// Engine is what the engines of a service have in common.
+type Engine struct {
+	Slots  int           `json:"slots"`  // requests at once
+	Memory id.Tokens     `json:"memory"` // KV memory
+	Bytes  int64         `json:"bytes"`  // KV bytes of a token
+	Link   float64       `json:"link"`   // bytes a second between engines
+	Handle time.Duration `json:"handle"` // how long prepared KV memory is kept
+	Switch time.Duration `json:"switch"` // how long a role change takes
+}
+
+// Scale bounds the upstreams of a service in each data centre.
+type Scale struct {
+	Least  int                 `json:"least"`
+	Most   int                 `json:"most"`
+	Boot   time.Duration       `json:"boot"`
+	Cheap  float64             `json:"cheap"`  // price of a cheap upstream, as a part of the others'
+	Prices map[id.Zone]float64 `json:"prices"` // of an upstream second
 }
 
 // Check reports the first invalid field of s.
--- a/internal/models/state/authority.go
+++ b/internal/models/state/authority.go
@@ -90,9 +90,15 @@
 	}
 	totals := map[pair]usage.Count{}
 	for src, c := range m.t.Counts {
+		if src.Window > s.Window {
+			continue
+		}
 		p := pair{src.Customer, src.Service}
 		totals[p] = totals[p].Add(c)
 	}
+	for p, c := range m.t.Settled {
+		totals[p] = totals[p].Add(c)
+	}
 	r := usage.Report{Window: s.Window}
 	for p, total := range totals {
 		part := total.Sub(m.t.Reported[p])
@@ -108,9 +114,21 @@
 	})
 	m.t.Reports = append(m.t.Reports, r)
 	m.trim()
+	m.settleCounts(s.Window)
 	return ok()
 }
 
+// settleCounts folds the counters of windows that ended long ago into one sum: no VM reports them again.
+func (m *Machine) settleCounts(sealed id.Window) {
+	for src, c := range m.t.Counts {
+		if src.Window > 0 && src.Window+windowsKept < sealed {
+			p := pair{src.Customer, src.Service}
+			m.t.Settled[p] = m.t.Settled[p].Add(c)
+			delete(m.t.Counts, src)
+		}
+	}
+}
+
 // trim drops the oldest acknowledged reports beyond reportsKept.
 func (m *Machine) trim() {
 	for len(m.t.Reports) > reportsKept && m.t.Reports[0].Acknowledged {
--- a/internal/models/state/command.go
+++ b/internal/models/state/command.go
@@ -8,6 +8,7 @@
 
 	"wagtaillift/internal/models/claim"
 	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/models/document"
 	"wagtaillift/internal/models/key"
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/order"
@@ -51,6 +52,7 @@
 	Exception *policy.Exception  `json:"exception,omitempty"`
 	Drop      string             `json:"drop,omitempty"` // exception to remove
 	Retire    id.Service         `json:"retire,omitempty"`
+	Replace   *document.Document `json:"replace,omitempty"` // replaces customers, callers' keys, services and routes
 }
 
 // Member is one VM that may hold a VM lease.
--- a/internal/models/state/config.go
+++ b/internal/models/state/config.go
@@ -7,8 +7,10 @@
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/models/document"
 	"wagtaillift/internal/models/key"
 	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/route"
 	"wagtaillift/internal/models/service"
 	"wagtaillift/internal/modules/id"
 )
@@ -35,6 +37,13 @@
 	Defaults   policy.Defaults                   `json:"defaults"`
 	Exceptions map[string]policy.Exception       `json:"exceptions"`
 	History    []Entry                           `json:"history"`
+	Version    document.Version                  `json:"version,omitempty"` // of the whole document in force; zero where there is none
+	Source     []byte                            `json:"source,omitempty"`  // that document as it was sent
+	Routes     []route.Route                     `json:"routes,omitempty"`
+	Bounds     document.Bounds                   `json:"bounds,omitzero"`
+
+	table  route.Table
+	hashes map[string]id.Key // live callers' keys by hash
 }
 
 // Resolve returns field f in force for c and s.
@@ -76,6 +85,7 @@
 	n.Defaults = maps.Clone(c.Defaults)
 	n.Exceptions = maps.Clone(c.Exceptions)
 	n.History = append([]Entry(nil), c.History...)
+	n.index()
 	return &n
 }
 
@@ -98,6 +108,8 @@
 		return c.dropException(ch.Drop)
 	case ch.Retire != "":
 		return c.retire(ch.Retire)
+	case ch.Replace != nil:
+		return c.replace(ch.Replace)
 	}
 	return "", errors.NotValidf("empty change")
 }
--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -23,6 +23,10 @@
 // reportsKept is the number of acknowledged usage reports kept.
 const reportsKept = 10000
 
+// windowsKept is how many windows before the sealed one keep their counters apart. It covers the longest time for which
+// a VM repeats a reading.
+const windowsKept = 60
+
 // tables is everything a snapshot carries.
 type tables struct {
 	Index    id.Index                     `json:"index"`
@@ -33,6 +37,7 @@
 	Opened   []claim.ID                   `json:"opened"` // keys of Claims, oldest first
 	Orders   map[id.Upstream]order.Order  `json:"orders"`
 	Counts   map[usage.Source]usage.Count `json:"counts"`
+	Settled  map[pair]usage.Count         `json:"settled,omitempty"` // sum of counters that are no longer kept apart
 	Reported map[pair]usage.Count         `json:"reported"`
 	Reports  []usage.Report               `json:"reports"`
 	Answers  map[id.Request]Result        `json:"answers"`
@@ -64,6 +69,7 @@
 		Claims:   map[claim.ID]claim.Claim{},
 		Orders:   map[id.Upstream]order.Order{},
 		Counts:   map[usage.Source]usage.Count{},
+		Settled:  map[pair]usage.Count{},
 		Reported: map[pair]usage.Count{},
 		Answers:  map[id.Request]Result{},
 	}
@@ -230,6 +236,9 @@
 		return first
 	}
 	cfg := &m.t.Config
+	if ch.Replace != nil && ch.Replace.Version <= cfg.Version {
+		return ok() // a later document, or this one, is in force
+	}
 	if !ch.Any && ch.Base != cfg.Revision {
 		return fail(Conflict, "the base revision is not the current one")
 	}
@@ -358,7 +367,7 @@
 	defer m.mu.Unlock()
 	t := m.t
 	t.Claims, t.Opened = nil, nil
-	t.Counts, t.Reported, t.Reports = nil, nil, nil
+	t.Counts, t.Settled, t.Reported, t.Reports = nil, nil, nil, nil
 	t.Answers, t.Asked = nil, nil
 	data, err := cbor.Marshal(t)
 	return data, errors.Annotate(err, "encode snapshot")
@@ -397,6 +406,9 @@
 	if t.Counts == nil {
 		t.Counts, t.Reported = empty.Counts, empty.Reported
 	}
+	if t.Settled == nil {
+		t.Settled = empty.Settled
+	}
 	if t.Answers == nil {
 		t.Answers = empty.Answers
 	}
--- a/internal/models/usage/usage.go
+++ b/internal/models/usage/usage.go
@@ -9,6 +9,7 @@
 	Incarnation id.Incarnation `json:"incarnation"`
 	Customer    id.Customer    `json:"customer"`
 	Service     id.Service     `json:"service"`
+	Window      id.Window      `json:"window,omitempty"` // in which the requests began to run
 }
 
 // Count is a cumulative amount; merging two counts of one source takes the larger of each part.
--- a/internal/modules/cert/cert.go
+++ b/internal/modules/cert/cert.go
@@ -125,7 +125,7 @@
 // Store loads the certificate of this VM and reloads it when its file changes.
 type Store struct {
 	folder string
-	roots  *x509.CertPool
+	roots  *x509.CertPool // nil trusts whoever reaches this VM
 	fleet  string
 
 	mu    sync.Mutex
@@ -158,12 +158,37 @@
 	return s, nil
 }
 
+// ephemeralLife is the validity of a certificate that is made at every start.
+const ephemeralLife = 10 * 365 * 24 * time.Hour
+
+// Ephemeral returns a store with a key made now that trusts every peer. It is for networks that only the fleet reaches:
+// traffic is encrypted, and whoever gets into the network can pass for a VM.
+func Ephemeral(vm id.VM, zone id.Zone, now time.Time) (*Store, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Annotate(err, "generate VM key")
+	}
+	// The wall clock may be far off at the start, and nobody checks the dates of these certificates.
+	tmpl, err := template(pkix.Name{CommonName: string(vm), Locality: []string{string(zone)}}, now, ephemeralLife)
+	if err != nil {
+		return nil, err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Annotatef(err, "sign certificate of %s", vm)
+	}
+	return &Store{pair: &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}}, nil
+}
+
 // Fleet returns the name of the fleet that the authority belongs to.
 func (s *Store) Fleet() string { return s.fleet }
 
 // current returns the certificate on disk, reading it again after a renewal. While a renewal is half written the
 // earlier pair stays in use.
 func (s *Store) current() (*tls.Certificate, error) {
+	if s.roots == nil {
+		return s.pair, nil
+	}
 	path := filepath.Join(s.folder, VMFile)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,10 +212,14 @@
 
 // Server returns the TLS configuration that accepts only VMs of the fleet.
 func (s *Store) Server(protocol string) *tls.Config {
+	auth := tls.RequireAndVerifyClientCert
+	if s.roots == nil {
+		auth = tls.RequireAnyClientCert
+	}
 	return &tls.Config{
 		MinVersion:     tls.VersionTLS13,
 		NextProtos:     []string{protocol},
-		ClientAuth:     tls.RequireAndVerifyClientCert,
+		ClientAuth:     auth,
 		ClientCAs:      s.roots,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.current() },
 	}
@@ -218,6 +247,9 @@
 	if len(cs.PeerCertificates) == 0 {
 		return errors.New("the peer sent no certificate")
 	}
+	if s.roots == nil {
+		return nil
+	}
 	_, err := cs.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: s.roots, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}})
 	return errors.Annotate(err, "verify peer")
 }
--- a/internal/modules/quorum/core.go
+++ b/internal/modules/quorum/core.go
@@ -86,6 +86,9 @@
 // Term returns the current term.
 func (c *Core) Term() Term { return c.hard.Term }
 
+// Hard returns the part of the state that must outlive a restart.
+func (c *Core) Hard() Hard { return c.hard }
+
 // Leader returns the leader of the term, empty where none is known.
 func (c *Core) Leader() Node { return c.leader }
 
--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -17,12 +17,11 @@
 )
 
 const (
-	election      = time.Second
-	heartbeat     = 250 * time.Millisecond
+	mostBeat      = 250 * time.Millisecond // heartbeats are as frequent as a quarter of the election's timeout
 	batchBytes    = 1 << 20
 	inboxLength   = 4096
 	compactAfter  = 20000 // entries
-	compactBytes  = 64 << 20
+	compactBytes  = 16 << 20
 	tickPrecision = 10 * time.Millisecond
 )
 
@@ -64,6 +63,8 @@
 // Replica is one running member of the log.
 type Replica[R any] struct {
 	core    *quorum.Core
+	options quorum.Options
+	empty   atomic.Bool
 	disk    Disk
 	machine Machine[R]
 	send    func(quorum.Message)
@@ -94,14 +95,15 @@
 
 // Options are what a replica starts from.
 type Options[R any] struct {
-	Self    quorum.Node
-	Disk    Disk
-	State   quorum.State
-	Machine Machine[R]
-	Send    func(quorum.Message) // must not block
-	Notify  func(quorum.Index)   // called after entries were applied; must not block
-	Drift   float64              // largest relative clock error
-	Seed    uint64
+	Self     quorum.Node
+	Disk     Disk
+	State    quorum.State
+	Machine  Machine[R]
+	Send     func(quorum.Message) // must not block
+	Notify   func(quorum.Index)   // called after entries were applied; must not block
+	Drift    float64              // largest relative clock error
+	Seed     uint64
+	Election time.Duration // least silence of a leader before an election
 }
 
 // New returns a replica that has applied the snapshot of its state. Run starts it.
@@ -120,10 +122,12 @@
 		opt.Machine.Publish()
 	}
 	r.applied = opt.State.Snapshot.Index
-	r.core = quorum.New(clock.Boot(), quorum.Options{
-		Self: opt.Self, Election: election, Heartbeat: heartbeat, Batch: batchBytes,
+	r.options = quorum.Options{
+		Self: opt.Self, Election: opt.Election, Heartbeat: min(mostBeat, opt.Election/4), Batch: batchBytes,
 		Rand: rand.New(rand.NewPCG(opt.Seed, uint64(clock.Boot()))),
-	}, opt.State)
+	}
+	r.core = quorum.New(clock.Boot(), r.options, opt.State)
+	r.empty.Store(r.core.Last() == 0)
 	r.publish(clock.Boot())
 	return r, nil
 }
@@ -313,6 +317,7 @@
 	}
 	s.Since = r.since
 	r.status.Store(s)
+	r.empty.Store(r.core.Last() == 0)
 }
 
 func (r *Replica[R]) shutdown() {
@@ -340,6 +345,47 @@
 	}
 }
 
+// Empty reports whether the log holds nothing. It takes no lock.
+func (r *Replica[R]) Empty() bool { return r.empty.Load() }
+
+// Found makes s the start of an empty log. A log that holds something stays as it is.
+func (r *Replica[R]) Found(ctx context.Context, s quorum.Snapshot) error {
+	ch := make(chan error, 1)
+	err := r.do(ctx, func(now time.Duration) {
+		if r.core.Last() > 0 {
+			ch <- nil
+			return
+		}
+		ch <- r.begin(now, s)
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-ch:
+		return err
+	case <-r.done:
+		return ErrStopped
+	}
+}
+
+// begin persists s and restarts the core from it, in the term that the core has reached.
+func (r *Replica[R]) begin(now time.Duration, s quorum.Snapshot) error {
+	if err := r.flush(); err != nil {
+		return err
+	}
+	if err := r.disk.SaveSnapshot(s, nil); err != nil {
+		return err
+	}
+	if err := r.machine.Restore(s.Data); err != nil {
+		return errors.Annotate(err, "found the log")
+	}
+	r.machine.Publish()
+	r.applied = s.Index
+	r.core = quorum.New(now, r.options, quorum.State{Hard: r.core.Hard(), Snapshot: s})
+	return nil
+}
+
 // Step hands a message to the core; it is dropped where the inbox is full.
 func (r *Replica[R]) Step(m quorum.Message) {
 	select {
--- a/internal/modules/setting/decode.go
+++ b/internal/modules/setting/decode.go
@@ -159,6 +159,8 @@
 			return d.fail(v.StartOffset, path, "want true or false")
 		}
 		to.SetBool(l.Bool())
+	case reflect.Float64:
+		return d.number(v, path, to, bounds)
 	case reflect.Int, reflect.Int64:
 		l, err := d.literal(v, path, '0', "a whole number")
 		if err != nil {
@@ -180,6 +182,26 @@
 	return nil
 }
 
+func (d *decoder) number(v hujson.Value, path string, to reflect.Value, bounds string) error {
+	l, err := d.literal(v, path, '0', "a number")
+	if err != nil {
+		return err
+	}
+	n, err := strconv.ParseFloat(l.String(), 64)
+	if err != nil {
+		return d.fail(v.StartOffset, path, "want a number, not %s", l.String())
+	}
+	if low, high, ok := strings.Cut(bounds, ".."); ok {
+		a, _ := strconv.ParseFloat(low, 64)
+		b, _ := strconv.ParseFloat(high, 64)
+		if n < a || n > b {
+			return d.fail(v.StartOffset, path, "%g is outside %g to %g", n, a, b)
+		}
+	}
+	to.SetFloat(n)
+	return nil
+}
+
 func oneOf(s, list string) bool {
 	for _, x := range strings.Split(list, "|") {
 		if s == x {
--- a/internal/modules/upstream/client.go
+++ b/internal/modules/upstream/client.go
@@ -18,7 +18,7 @@
 	dialTimeout     = time.Second
 	idleConnTimeout = 30 * time.Second
 	idlePerHost     = 64
-	userTimeout     = 5 * time.Second // the kernel gives unacknowledged bytes up after this
+	userTimeout     = 2 * time.Second // the kernel gives unacknowledged bytes up after this
 	headerLimit     = 64 << 10
 )
 
--- a/internal/routers/vm/metrics.go
+++ b/internal/routers/vm/metrics.go
@@ -38,6 +38,6 @@
 		leading = 1
 	}
 	fmt.Fprintf(w, "wagtaillift_leading %d\n", leading)
-	fmt.Fprintf(w, "wagtaillift_requests_running %d\n", v.caller.Running.Load())
+	fmt.Fprintf(w, "wagtaillift_requests_running %d\n", v.running())
 	fmt.Fprintf(w, "wagtaillift_upstreams %d\n", len(v.roster.Snapshot().All))
 }
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -42,11 +42,11 @@
 const (
 	methodHold     = "hold"
 	methodRefuse   = "refuse"
+	methodCrash    = "crash"
 	methodIsolate  = "isolate"
 	isolateTimeout = 300 * time.Millisecond
 	peerTimeout    = time.Second
 	idlePoll       = 20 * time.Millisecond
-	leaveTimeout   = 5 * time.Second
 	closeTimeout   = 2 * time.Second
 	leastDemand    = 0.01 // tokens a second below which a customer is left out of reports
 )
@@ -61,6 +61,7 @@
 	limiter   *limit.Limiter
 	meter     *billing.Meter
 	caller    *caller.Handler
+	platform  *platformFace // nil where the product's own interface is served
 	operator  *operator.Handler
 	burn      *burn.Meter
 	journal   *journal.Journal
@@ -74,7 +75,7 @@
 
 // New builds a VM from checked settings and binds its addresses.
 func New(cfg setting.Config) (*VM, error) {
-	store, err := cert.Load(cfg.Peers.Cert)
+	store, err := loadCert(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -91,8 +92,9 @@
 	inc := id.Incarnation(time.Now().UnixNano())
 	v.authority, err = authority.New(authority.Options{
 		VM: id.VM(cfg.VM), Zone: id.Zone(cfg.Zone), Incarnation: inc, Peer: cfg.PeerAddress(),
-		Operator: cfg.Listen.Operator, Folder: cfg.Data.Folder, Seeds: cfg.Peers.Seeds, Voters: cfg.Data.Voters,
-		Transport: v.transport,
+		Operator: cfg.Listen.Operator, Folder: cfg.Data.Folder, Seeds: cfg.SeedPeers(), Voters: cfg.Voters(),
+		First: cfg.Data.First, Transport: v.transport,
+		Timing: authority.Timing{Lease: cfg.VMLease(), Election: cfg.Lease.Election, Spare: cfg.Data.Spare},
 	})
 	if err != nil {
 		return nil, err
@@ -100,22 +102,50 @@
 	v.buildRoster(inc)
 	v.buildMeter(inc)
 	v.buildLimits()
+	if cfg.Face == facePlatform {
+		v.buildPlatform(inc)
+		return v, v.listen(v.platformFaces())
+	}
 	v.buildCaller(inc)
 	v.operator = &operator.Handler{
 		Authority: v.authority, Roster: v.roster, Explain: v.journal.Explain,
 		Burn: func(now time.Time) any { return v.burn.Report(now) },
 	}
 	v.operator.Register()
+	v.buildOrders(nil)
+	return v, v.listen(v.faces())
+}
+
+// The faces that settings name.
+const facePlatform = "platform"
+
+// loadCert returns the VM's certificate, or makes one where the network is trusted.
+func loadCert(cfg setting.Config) (*cert.Store, error) {
+	if cfg.Peers.Trust != "network" {
+		return cert.Load(cfg.Peers.Cert)
+	}
+	klog.InfoS("Peers are not verified: whoever reaches the peers' network can pass for a VM", "vm", cfg.VM)
+	return cert.Ephemeral(id.VM(cfg.VM), id.Zone(cfg.Zone), time.Now())
+}
+
+// buildOrders sets up what is done under exclusive roles. A nil port speaks this project's own protocol.
+func (v *VM) buildOrders(port order.Platform) {
+	cfg := v.cfg
 	v.orders = order.New(order.Options{
-		Authority: v.authority, Roster: v.roster, Platform: cfg.Bill.Platform, Window: cfg.Bill.Window,
+		Authority: v.authority, Roster: v.roster, Platform: cfg.Bill.Platform, Port: port, Window: cfg.Bill.Window,
+		Delay: cfg.Bill.Delay, Lease: cfg.Lease.Duty, Now: v.authority.Wall,
 	})
-	return v, v.listen()
 }
 
 func (v *VM) buildRoster(inc id.Incarnation) {
 	a := v.authority
-	v.gossip = &roster.Gossip{Transport: v.transport, Members: a.State().Members, VM: a.VM(), Zone: a.Zone()}
-	v.roster = roster.New(a.VM(), a.Zone(), uint64(inc), v.gossip.Changed)
+	wide := v.cfg.Route.Scope == "fleet"
+	v.gossip = &roster.Gossip{Transport: v.transport, Members: a.State().Members, VM: a.VM(), Zone: a.Zone(), Wide: wide}
+	if wide {
+		v.roster = roster.NewWide(a.VM(), uint64(inc), v.cfg.Route.Silence, v.gossip.Changed)
+	} else {
+		v.roster = roster.New(a.VM(), a.Zone(), uint64(inc), v.gossip.Changed)
+	}
 	v.gossip.Roster = v.roster
 	v.gossip.Register()
 }
@@ -136,6 +166,9 @@
 		}
 		return v.refused.Enter(clock.Boot(), r.Upstream, r.Print), nil
 	})
+	peer.Handle(v.transport, methodCrash, func(_ context.Context, _ id.VM, r refusedPrint) (bool, error) {
+		return v.refused.Crash(clock.Boot(), r.Print, r.Hold), nil
+	})
 	peer.Handle(v.transport, methodRefuse, func(_ context.Context, _ id.VM, r refusedPrint) (bool, error) {
 		v.refused.Refuse(clock.Boot(), r.Print, r.Hold)
 		return true, nil
@@ -225,12 +258,21 @@
 
 // tellRefused tells every VM about a quarantined request: its caller may send it again in another data centre.
 func (v *VM) tellRefused(p quarantine.Print, hold time.Duration) {
+	v.tell(methodRefuse, refusedPrint{p, hold})
+}
+
+// tellCrashed tells every VM that a request ran on an upstream that crashed.
+func (v *VM) tellCrashed(p quarantine.Print, hold time.Duration) {
+	v.tell(methodCrash, refusedPrint{p, hold})
+}
+
+func (v *VM) tell(method string, p refusedPrint) {
 	for _, to := range v.others(func(state.Member) bool { return true }) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 			defer cancel()
-			if _, err := peer.Call[bool](ctx, v.transport, to, methodRefuse, refusedPrint{p, hold}); err != nil {
-				klog.InfoS("Quarantine not told", "peer", to, "err", err)
+			if _, err := peer.Call[bool](ctx, v.transport, to, method, p); err != nil {
+				klog.InfoS("Suspect not told", "method", method, "peer", to, "err", err)
 			}
 		}()
 	}
@@ -291,19 +333,30 @@
 	metrics.GetOrCreateCounter(`wagtaillift_requests_total{service="` + string(c.Service.ID) + `",outcome="` + outcome + `"}`).Inc()
 }
 
-// listen binds the TCP addresses.
-func (v *VM) listen() error {
+// face is one listener; without an address it is not served.
+type face struct {
+	name, address string
+	h             http.Handler
+}
+
+// faces returns the listeners of the product's own interface.
+func (v *VM) faces() []face {
 	up := &announce.Handler{Config: v.authority.Config, Guard: v.authority, Roster: v.roster, VM: v.authority.VM()}
-	faces := []struct {
-		name, address string
-		h             http.Handler
-	}{
+	return []face{
 		{"callers", v.cfg.Listen.Caller, v.caller},
 		{"operators", v.cfg.Listen.Operator, v.operator},
 		{"upstreams", v.cfg.Listen.Upstream, up},
 		{"metrics", v.cfg.Listen.Metrics, v.metrics()},
 	}
+}
+
+// listen binds the TCP addresses.
+func (v *VM) listen(faces []face) error {
 	for _, f := range faces {
+		if f.address == "" {
+			v.listeners, v.servers = append(v.listeners, nil), append(v.servers, &http.Server{})
+			continue
+		}
 		l, err := net.Listen("tcp", f.address)
 		if err != nil {
 			return errors.Annotatef(err, "listen for %s on %s", f.name, f.address)
@@ -371,7 +424,11 @@
 	})
 	start(func() { v.gossip.Run(inner) })
 	start(func() { v.orders.Run(inner) })
+	start(func() { v.background(inner) })
 	for i, s := range v.servers {
+		if v.listeners[i] == nil {
+			continue
+		}
 		start(func() {
 			if err := s.Serve(v.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
@@ -394,15 +451,16 @@
 // drain fails the health check, then refuses new requests, then waits for the running ones.
 func (v *VM) drain() {
 	v.unhealthy.Store(true)
-	klog.InfoS("VM stopping", "vm", v.cfg.VM, "running", v.caller.Running.Load())
+	klog.InfoS("VM stopping", "vm", v.cfg.VM, "running", v.running())
+	v.servers[faceCaller].SetKeepAlivesEnabled(false) // callers go elsewhere with their next request
 	time.Sleep(v.cfg.Stop.Lead)
 	v.stopping.Store(true)
 	end := time.Now().Add(v.cfg.Stop.Limit)
-	for v.caller.Running.Load() > 0 && time.Now().Before(end) {
+	for v.running() > 0 && time.Now().Before(end) {
 		time.Sleep(idlePoll)
 	}
-	klog.InfoS("VM drained", "vm", v.cfg.VM, "running", v.caller.Running.Load())
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	klog.InfoS("VM drained", "vm", v.cfg.VM, "running", v.running())
+	ctx, cancel := context.WithTimeout(context.Background(), v.cfg.Stop.Leave)
 	defer cancel()
 	v.authority.Flush(ctx)
 	v.authority.Leave(ctx)
@@ -418,5 +476,11 @@
 	v.transport.Close()
 }
 
+// Reload applies what may change while the VM runs: the seeds and the log's verbosity. The rest waits for a restart.
+func (v *VM) Reload(cfg setting.Config) {
+	v.authority.SetSeeds(cfg.SeedPeers())
+	klog.InfoS("Settings reloaded", "vm", cfg.VM, "seeds", cfg.SeedPeers())
+}
+
 // Config returns the configuration in force on this VM.
 func (v *VM) Config() *state.Config { return v.authority.Config() }
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -13,6 +13,7 @@
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/models/usage"
+	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
@@ -23,13 +24,8 @@
 )
 
 const (
-	vmLease      = 15 * time.Second // how long a VM may serve keyed calls after a report
-	reportEvery  = 500 * time.Millisecond
 	reportGap    = 100 * time.Millisecond // least time between two reports
 	dutyEvery    = 200 * time.Millisecond
-	feedWait     = time.Second
-	feedSlack    = 500 * time.Millisecond // after which a relay that does not answer is left
-	callTimeout  = 1500 * time.Millisecond
 	proposeWait  = 5 * time.Second
 	retryPause   = 100 * time.Millisecond
 	maxHops      = 4
@@ -48,7 +44,9 @@
 	Operator    string // address of the administration API
 	Folder      string // data folder; empty for a VM that only follows
 	Seeds       []string
-	Voters      int // most voters
+	Voters      int    // most voters
+	First       bool   // the whole fleet starts for the first time: the seeds found its log
+	Timing      Timing // zero values stand for DefaultTiming
 	Transport   *peer.Transport
 }
 
@@ -59,7 +57,9 @@
 	replica *replica.Replica[state.Result]
 	node    quorum.Node
 
+	timing    Timing
 	leaseEnd  atomic.Int64 // clock.Boot, nanoseconds
+	wall      fleetClock
 	leftAt    atomic.Bool
 	noted     atomic.Uint64 // revision at the last early report
 	withdrawn rcu.Value[map[id.Key]bool]
@@ -67,6 +67,7 @@
 	readings  func() []usage.Reading
 	onShares  func([]Share)
 	onCounted func([]usage.Reading)
+	seeds     rcu.Value[[]string]
 	report    chan struct{}
 
 	addresses sync.Map // quorum.Node to string
@@ -86,7 +87,10 @@
 		demand:   func(time.Duration) []Demand { return nil },
 		readings: func() []usage.Reading { return nil },
 		onShares: func([]Share) {}, onCounted: func([]usage.Reading) {},
+		timing: opt.Timing.filled(),
 	}
+	a.seeds.Store(opt.Seeds)
+	a.wall.start(time.Now(), clock.Boot())
 	a.leader = newLeader(a)
 	if opt.Folder != "" {
 		if err := a.openReplica(); err != nil {
@@ -109,10 +113,13 @@
 		return errors.Annotate(err, "open replicated log")
 	}
 	a.node = nodeName(a.opt.VM, disk)
+	if err := a.noteFirst(); err != nil {
+		return err
+	}
 	a.loadAddresses()
 	a.replica, err = replica.New(replica.Options[state.Result]{
 		Self: a.node, Disk: log, State: s, Machine: a.feed, Send: a.sendLog, Drift: lease.DriftBound,
-		Notify: a.noteApplied, Seed: uint64(a.opt.Incarnation),
+		Notify: a.noteApplied, Seed: uint64(a.opt.Incarnation), Election: a.timing.Election,
 	})
 	return err
 }
@@ -137,6 +144,9 @@
 // OnShares sets the function that applies this VM's shares. It is set before Run.
 func (a *Authority) OnShares(f func([]Share)) { a.onShares = f }
 
+// SetSeeds replaces the addresses where this VM looks for the fleet when it knows no member.
+func (a *Authority) SetSeeds(list []string) { a.seeds.Store(list) }
+
 // State returns the state machine of this VM.
 func (a *Authority) State() *state.Machine { return a.feed.Machine }
 
--- a/internal/services/authority/feed.go
+++ b/internal/services/authority/feed.go
@@ -8,8 +8,12 @@
 	"wagtaillift/internal/modules/quorum"
 )
 
-// feedLength is the number of applied entries kept for VMs that follow this one.
-const feedLength = 8192
+// feedLength and feedBytes bound the applied entries kept for VMs that follow this one. A follower that lacks more gets a
+// snapshot.
+const (
+	feedLength = 8192
+	feedBytes  = 8 << 20
+)
 
 // feed is the state machine together with the latest entries that followers apply. Entries that only control VMs apply
 // are left out, so that what a follower receives does not grow with the number of requests.
@@ -20,6 +24,7 @@
 	base    id.Index // items is complete after this index
 	last    id.Index // highest index of an entry for followers
 	news    bool     // items has grown since the last Publish
+	size    int      // bytes in items
 	changed chan struct{}
 }
 
@@ -35,13 +40,28 @@
 	defer f.mu.Unlock()
 	f.items = append(f.items, item{Index: id.Index(i), Data: data})
 	f.last, f.news = id.Index(i), true
-	if len(f.items) > 2*feedLength {
-		f.base = f.items[len(f.items)-feedLength-1].Index
-		f.items = append([]item(nil), f.items[len(f.items)-feedLength:]...)
+	f.size += len(data)
+	if len(f.items) > 2*feedLength || f.size > 2*feedBytes {
+		f.trim()
 	}
 	return r
 }
 
+// trim drops the oldest items beyond feedLength and feedBytes.
+func (f *feed) trim() {
+	from, size := len(f.items), 0
+	for from > 0 && len(f.items)-from < feedLength && size < feedBytes {
+		from--
+		size += len(f.items[from].Data)
+	}
+	if from == 0 {
+		return
+	}
+	f.base = f.items[from-1].Index
+	f.items = append([]item(nil), f.items[from:]...)
+	f.size = size
+}
+
 // Publish makes the applied entries visible and wakes followers where there is something for them.
 func (f *feed) Publish() {
 	f.Machine.Publish()
@@ -69,7 +89,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.base = f.Index()
-	f.items, f.last, f.news = nil, f.base, true
+	f.items, f.last, f.news, f.size = nil, f.base, true, 0
 	return nil
 }
 
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -136,7 +136,7 @@
 		near = append(near, members[first].Peer)
 	}
 	list := append(near, control...)
-	for _, s := range a.opt.Seeds {
+	for _, s := range a.seeds.Load() {
 		if s != a.opt.Peer && !slices.Contains(list, s) {
 			list = append(list, s)
 		}
@@ -164,7 +164,7 @@
 func (a *Authority) followFrom(ctx context.Context, to string) bool {
 	worked := false
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+		call, cancel := context.WithTimeout(ctx, a.timing.feedWait()+a.timing.feedSlack())
 		r, err := peer.Call[feedAnswer](call, a.opt.Transport, to, methodFeed, feedRequest{After: a.feed.Index()})
 		cancel()
 		if err != nil {
@@ -189,7 +189,7 @@
 
 // reachable reports whether the relay at to is up to date with this VM.
 func (a *Authority) reachable(ctx context.Context, to string) bool {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
 	i, err := peer.Call[freshAnswer](call, a.opt.Transport, to, methodFresh, freshRequest{})
 	return err == nil && i.Index >= a.feed.Index()
@@ -227,13 +227,18 @@
 	for ctx.Err() == nil {
 		a.saveAddresses()
 		if s := a.replica.Status(); s.Members.Has(a.node) && s.Leader != "" {
-			pause.For(ctx, feedWait)
+			pause.For(ctx, a.timing.feedWait())
+			continue
+		}
+		if err := a.found(ctx); err != nil {
+			klog.V(1).InfoS("Fleet not founded yet", "vm", a.opt.VM, "err", err)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		for _, to := range a.candidates() {
 			a.uplink.Store(&to)
 			q := enrollment{Node: a.node, Address: a.opt.Peer}
-			call, cancel := context.WithTimeout(ctx, callTimeout)
+			call, cancel := context.WithTimeout(ctx, a.timing.call())
 			_, err := peer.Call[empty](call, a.opt.Transport, to, methodEnroll, q)
 			cancel()
 			if err == nil {
@@ -242,7 +247,7 @@
 			}
 			klog.V(1).InfoS("Enrolment failed", "peer", to, "err", err)
 		}
-		pause.For(ctx, feedWait)
+		pause.For(ctx, a.timing.feedWait())
 	}
 }
 
@@ -255,7 +260,7 @@
 
 // forward passes a proposal on. A call that fails after it was sent leaves the outcome unknown.
 func (a *Authority) forward(ctx context.Context, to string, p proposal) (state.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
 	r, err := peer.Call[proposalAnswer](ctx, a.opt.Transport, to, methodPropose, p)
 	switch {
--- a/internal/services/authority/handle.go
+++ b/internal/services/authority/handle.go
@@ -20,6 +20,7 @@
 func (a *Authority) register(t *peer.Transport) {
 	peer.Handle(t, methodLog, a.onLog)
 	peer.Handle(t, methodFeed, a.onFeed)
+	peer.Handle(t, methodWho, a.onWho)
 	peer.Handle(t, methodPropose, a.onPropose)
 	peer.Handle(t, methodReport, func(ctx context.Context, _ id.VM, q reports) (grants, error) { return a.gather(ctx, q) })
 	peer.Handle(t, methodEnroll, a.onEnroll)
@@ -80,7 +81,7 @@
 		for len(list) < most && len(ch) > 0 {
 			list = append(list, <-ch)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), a.timing.call())
 		q := logMessages{Address: a.opt.Peer, List: list}
 		if _, err := peer.Call[empty](ctx, a.opt.Transport, to, methodLog, q); err != nil {
 			klog.V(2).InfoS("Log messages lost", "peer", to, "err", err)
@@ -90,7 +91,7 @@
 }
 
 func (a *Authority) onFeed(ctx context.Context, _ id.VM, q feedRequest) (feedAnswer, error) {
-	timer := time.NewTimer(feedWait)
+	timer := time.NewTimer(a.timing.feedWait())
 	defer timer.Stop()
 	for {
 		changed := a.feed.wait()
@@ -178,7 +179,7 @@
 // answer. The set only grows, so messages may arrive in any order and more than once.
 func (a *Authority) Withdraw(ctx context.Context, keys ...id.Key) []id.VM {
 	a.withdrawHere(keys)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
 	type reply struct {
 		vm  id.VM
@@ -220,14 +221,14 @@
 		return Force{}, ErrNoQuorum
 	}
 	q.Hops++
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+a.timing.call())
 	defer cancel()
 	return peer.Call[Force](ctx, a.opt.Transport, to, methodForce, q)
 }
 
 // Draw asks the leader for tokens of c beyond this VM's share.
 func (a *Authority) Draw(ctx context.Context, c id.Customer, tokens float64) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
 	r, err := a.draw(ctx, drawRequest{Customer: c, Tokens: tokens})
 	return err == nil && r.Granted
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -23,8 +23,7 @@
 
 const (
 	usageEvery = time.Second
-	caughtUp   = 200              // entries a learner may lack when it is promoted
-	spareAfter = 60 * time.Second // absence after which a dead voter gives way to a spare
+	caughtUp   = 200 // entries a learner may lack when it is promoted
 	forceCheck = 20 * time.Millisecond
 )
 
@@ -49,6 +48,7 @@
 	at          time.Duration // leader's clock at receipt
 	sent        time.Duration // VM's clock
 	revision    id.Revision
+	wall        time.Duration // VM's clock of the day at its start, less the leader's steady clock
 }
 
 // renewal is when this VM first saw a lease at a renewal number.
@@ -101,7 +101,7 @@
 }
 
 func (l *leader) propose(ctx context.Context, c state.Command) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.a.timing.call())
 	defer cancel()
 	if _, err := l.a.Propose(ctx, c); err != nil {
 		klog.V(1).InfoS("Duty failed", "err", err)
@@ -122,7 +122,7 @@
 }
 
 // grace returns when every VM lease granted by an earlier leader has ended.
-func (l *leader) grace() time.Duration { return lease.EndedAt(l.since, vmLease) }
+func (l *leader) grace() time.Duration { return l.a.timing.ended(l.since) }
 
 // observeLeases notes when this VM first saw each renewal, whether it leads or not.
 func (l *leader) observeLeases(now time.Duration) {
@@ -156,7 +156,7 @@
 		if s, ok := l.seen[vm]; ok && s.incarnation >= m.Incarnation {
 			last = s.at
 		}
-		if now > lease.EndedAt(last, vmLease) {
+		if now > l.a.timing.ended(last) {
 			list = append(list, m)
 			l.release(vm, now)
 		}
@@ -267,10 +267,11 @@
 	if old, ok := l.seen[r.VM]; ok && old.incarnation == r.Incarnation && r.Sent <= old.sent {
 		return g // a delayed report must not undo what a later one has acknowledged
 	}
-	l.seen[r.VM] = sighting{incarnation: r.Incarnation, at: now, sent: r.Sent, revision: r.Revision}
+	l.seen[r.VM] = sighting{incarnation: r.Incarnation, at: now, sent: r.Sent, revision: r.Revision, wall: r.Wall - now}
 	delete(l.gone, r.VM)
 	l.ending = slices.DeleteFunc(l.ending, func(e ending) bool { return e.vm == r.VM })
-	g.Duration, g.Revision, g.Index = vmLease, l.a.Config().Revision, l.a.feed.Last()
+	g.Wall = now + l.wall()
+	g.Duration, g.Revision, g.Index = l.a.timing.Lease, l.a.Config().Revision, l.a.feed.Last()
 	for _, d := range r.Demands {
 		div := l.divider(now, d.Customer)
 		div.Report(r.VM, limit.Held{Wanted: d.Wanted, Part: limit.Part{Rate: d.Rate, Burst: d.Burst}, Back: d.Back})
@@ -280,6 +281,16 @@
 	return g
 }
 
+// wall returns the agreed time of day less this VM's steady clock: the median of the VMs that report.
+func (l *leader) wall() time.Duration {
+	list := make([]time.Duration, 0, len(l.seen))
+	for _, s := range l.seen {
+		list = append(list, s.wall)
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
 func (l *leader) draw(now time.Duration, q drawRequest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -372,7 +383,7 @@
 	return "", false
 }
 
-// absent returns a voter whose VM has been no member for spareAfter.
+// absent returns a voter whose VM has been no member for l.a.timing.Spare.
 func (l *leader) absent(now time.Duration, voters []quorum.Node) (quorum.Node, bool) {
 	members := l.a.feed.Members()
 	l.mu.Lock()
@@ -385,7 +396,7 @@
 		since, ok := l.gone[vm]
 		if !ok {
 			l.gone[vm] = now
-		} else if now-since > spareAfter {
+		} else if now-since > l.a.timing.Spare {
 			return n, true
 		}
 	}
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -22,6 +22,7 @@
 	methodDraw     = "draw"
 	methodFresh    = "fresh"
 	methodReports  = "reports"
+	methodWho      = "who"
 )
 
 // logMessages carries messages of the replicated log.
@@ -71,6 +72,7 @@
 	Revision    id.Revision     `cbor:"4,keyasint"`
 	Demands     []Demand        `cbor:"5,keyasint,omitempty"`
 	Usage       []usage.Reading `cbor:"6,keyasint,omitempty"`
+	Wall        time.Duration   `cbor:"7,keyasint,omitempty"` // time of day at Sent by the VM's own clock, since 1970
 }
 
 // Share is a VM's part of a customer's rate and burst.
@@ -91,6 +93,7 @@
 	Shares   []Share         `cbor:"6,keyasint,omitempty"`
 	Rejoin   bool            `cbor:"7,keyasint,omitempty"` // the VM is no member
 	Counted  []usage.Reading `cbor:"8,keyasint,omitempty"` // committed counts of the sources reported
+	Wall     time.Duration   `cbor:"9,keyasint,omitempty"` // agreed time of day, since 1970
 }
 
 type reports struct {
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -33,7 +33,7 @@
 			a.reportOnce(ctx)
 		}
 		pause.For(ctx, reportGap)
-		timer.Reset(reportEvery - reportGap)
+		timer.Reset(a.timing.reportEvery() - reportGap)
 	}
 }
 
@@ -41,9 +41,9 @@
 	now := clock.Boot()
 	r := Report{
 		VM: a.opt.VM, Incarnation: a.opt.Incarnation, Sent: now, Revision: a.Config().Revision,
-		Demands: a.demand(now), Usage: a.readings(),
+		Demands: a.demand(now), Usage: a.readings(), Wall: now + a.wall.own,
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
 	answer, err := a.passOn(ctx, reports{List: []Report{r}})
 	if err != nil {
@@ -60,6 +60,7 @@
 // accept takes a grant. It counts only once this VM has applied the revision that the leader stood at.
 func (a *Authority) accept(ctx context.Context, g Grant) {
 	a.onCounted(g.Counted)
+	a.wall.set(g.Wall, g.Sent)
 	if g.Rejoin {
 		if err := a.join(ctx); err != nil {
 			klog.V(1).InfoS("Join failed", "vm", a.opt.VM, "err", err)
@@ -146,7 +147,7 @@
 	for _, p := range batch {
 		q.List = append(q.List, p.report)
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, a.timing.call())
 	defer cancel()
 	answer, err := a.passOn(ctx, q)
 	for i, p := range batch {
--- a/internal/services/billing/meter.go
+++ b/internal/services/billing/meter.go
@@ -17,6 +17,7 @@
 type pair struct {
 	customer id.Customer
 	service  id.Service
+	window   id.Window
 }
 
 // counter is one cumulative count. It takes no lock.
@@ -39,9 +40,12 @@
 	waiting []chan struct{}
 }
 
-// Add counts c for a customer and service.
-func (m *Meter) Add(cust id.Customer, svc id.Service, c usage.Count) {
-	k := pair{cust, svc}
+// Add counts c for a customer and service, in no window of its own: it is reported with the next one.
+func (m *Meter) Add(cust id.Customer, svc id.Service, c usage.Count) { m.AddIn(0, cust, svc, c) }
+
+// AddIn counts c in window w.
+func (m *Meter) AddIn(w id.Window, cust id.Customer, svc id.Service, c usage.Count) {
+	k := pair{cust, svc, w}
 	v, ok := m.counters.Load(k)
 	if !ok {
 		v, _ = m.counters.LoadOrStore(k, &counter{})
@@ -57,7 +61,7 @@
 	var list []usage.Reading
 	m.counters.Range(func(k, v any) bool {
 		p, n := k.(pair), v.(*counter)
-		src := usage.Source{VM: m.VM, Incarnation: m.Incarnation, Customer: p.customer, Service: p.service}
+		src := usage.Source{VM: m.VM, Incarnation: m.Incarnation, Customer: p.customer, Service: p.service, Window: p.window}
 		c := usage.Count{Requests: n.requests.Load(), Prompt: n.prompt.Load(), Output: n.output.Load()}
 		list = append(list, usage.Reading{Source: src, Count: c})
 		return true
@@ -82,6 +86,20 @@
 	return ahead
 }
 
+// Forget drops this VM's counters of windows before w that are committed.
+func (m *Meter) Forget(w id.Window) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.own() {
+		src := r.Source
+		if src.Window == 0 || src.Window >= w || m.counted[src].Merge(r.Count) != m.counted[src] {
+			continue
+		}
+		m.counters.Delete(pair{src.Customer, src.Service, src.Window})
+		delete(m.counted, src)
+	}
+}
+
 // Counted learns which counts are committed. Held ones are dropped, own ones no longer reported.
 func (m *Meter) Counted(list []usage.Reading) {
 	m.mu.Lock()
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/quarantine"
+	"wagtaillift/internal/services/retry"
 	"wagtaillift/internal/services/roster"
 	"wagtaillift/internal/services/route"
 )
@@ -51,7 +52,7 @@
 	// Pick chooses the upstream; nil means route.Pick.
 	Pick func(now time.Duration, list []*roster.Upstream, q *route.Query) route.Choice
 
-	budgets sync.Map // budgetKey to *budget
+	budgets sync.Map // budgetKey to *retry.Budget
 	gates   sync.Map // id.Service to *gate
 }
 
@@ -180,16 +181,16 @@
 
 // allowRetry takes one retry from the budget of c's customer and service.
 func (d *Dispatcher) allowRetry(c *call.Call) bool {
-	return d.budget(c).spend()
+	return d.budget(c).Spend(budgetBurst)
 }
 
-func (d *Dispatcher) budget(c *call.Call) *budget {
+func (d *Dispatcher) budget(c *call.Call) *retry.Budget {
 	k := budgetKey{c.Customer, c.Service.ID}
 	if b, ok := d.budgets.Load(k); ok {
-		return b.(*budget)
+		return b.(*retry.Budget)
 	}
-	b, _ := d.budgets.LoadOrStore(k, newBudget())
-	return b.(*budget)
+	b, _ := d.budgets.LoadOrStore(k, &retry.Budget{})
+	return b.(*retry.Budget)
 }
 
 // isolate reserves u for p where p is a suspect. The returned function frees it.
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -35,7 +35,7 @@
 		return call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step,
 			"this request crashed the engines that ran it").After(wait)
 	}
-	d.budget(c).earn(c.Config.Resolve(policy.Retries, c.Customer, c.Service.ID).Value)
+	d.budget(c).Earn(c.Config.Resolve(policy.Retries, c.Customer, c.Service.ID).Value)
 	var pr progress
 	tried := map[id.Upstream]bool{}
 	for attempt := 0; attempt < maxAttempts; attempt++ {
--- /dev/null
+++ b/internal/services/forward/authenticate.go
@@ -0,0 +1,24 @@
+package forward
+
+import (
+	"net/http"
+
+	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/services/call"
+)
+
+// authenticate finds the customer of c's key.
+func (f *Forwarder) authenticate(c *Call) error {
+	k, ok := c.config.KeyOf(key.Hash(c.Secret))
+	if c.Secret == "" || !ok || f.Guard.Withdrawn(k.ID) {
+		if c.route.Open {
+			return nil
+		}
+		return refuse(http.StatusUnauthorized, call.BadKey, "the key is missing, unknown or withdrawn")
+	}
+	c.key, c.customer = k.ID, c.config.Customers[k.Customer]
+	if c.customer.Ranked {
+		c.rank = c.customer.Rank
+	}
+	return nil
+}
--- a/internal/services/order/order.go
+++ b/internal/services/order/order.go
@@ -3,6 +3,7 @@
 package order
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
@@ -22,7 +24,7 @@
 
 const (
 	leaseLength = 6 * time.Second
-	renewEvery  = 2 * time.Second
+	renewals    = 3 // renewals of a lease in its length
 	actEvery    = 250 * time.Millisecond
 	orderWithin = 2 * time.Second // an order is written within this after its intent
 	sendTimeout = time.Second
@@ -46,10 +48,23 @@
 type Options struct {
 	Authority Authority
 	Roster    *roster.Roster
-	Platform  string        // base URL; empty reports nothing
-	Window    time.Duration // of usage
+	Platform  string                            // base URL; empty reports nothing, unless Port is set
+	Port      Platform                          // towards the platform; nil speaks this project's own protocol to Platform
+	Window    time.Duration                     // of usage
+	Delay     time.Duration                     // after a window's end until its figure is fixed; zero means sealDelay
+	Lease     time.Duration                     // of the exclusive roles; zero means leaseLength
+	Now       func(now time.Duration) time.Time // the fleet's time of day; nil reads the VM's own
 }
 
+// Platform takes what is done under the platform's lease. ErrFenced says that a later holder was seen.
+type Platform interface {
+	// Report sends the figure of a window; check is asked right before the write.
+	Report(ctx context.Context, holder id.VM, f id.Fence, r usage.Report, check func() bool) error
+}
+
+// ErrFenced says that the peer has seen a higher fencing number.
+const ErrFenced = errors.ConstError("a higher fencing number was seen")
+
 // Hold is a lease that this VM holds.
 type Hold struct {
 	Name     lease.Name
@@ -62,14 +77,23 @@
 // Service acts under the leases of this VM.
 type Service struct {
 	opt    Options
-	sender *sender
+	sender *Sender
 	mu     sync.Mutex
 	held   map[lease.Name]Hold
 }
 
 // New returns a service. Run starts it.
 func New(opt Options) *Service {
-	return &Service{opt: opt, sender: newSender(), held: map[lease.Name]Hold{}}
+	s := &Service{opt: opt, sender: NewSender(), held: map[lease.Name]Hold{}}
+	s.opt.Lease = cmp.Or(opt.Lease, leaseLength)
+	s.opt.Delay = cmp.Or(opt.Delay, sealDelay)
+	if opt.Port == nil && opt.Platform != "" {
+		s.opt.Port = &web{sender: s.sender, url: opt.Platform}
+	}
+	if opt.Now == nil {
+		s.opt.Now = func(time.Duration) time.Time { return time.Now() }
+	}
+	return s
 }
 
 // Run holds leases and acts under them until ctx ends.
@@ -86,7 +110,7 @@
 	if h, ok := s.keep(ctx, lease.Engines(zone)); ok {
 		s.finishPending(ctx, h, zone)
 	}
-	if s.opt.Platform == "" || !s.opt.Authority.Control() {
+	if s.opt.Port == nil || !s.opt.Authority.Control() {
 		return // only control VMs know the usage
 	}
 	if h, ok := s.keep(ctx, lease.Platform); ok {
@@ -107,7 +131,7 @@
 func (s *Service) keep(ctx context.Context, n lease.Name) (Hold, bool) {
 	now := clock.Boot()
 	h, held := s.Held(now, n)
-	if held && now-h.renewed < renewEvery {
+	if held && now-h.renewed < s.opt.Lease/renewals {
 		return h, true
 	}
 	a := s.opt.Authority
@@ -117,7 +141,7 @@
 		return Hold{}, false
 	}
 	r, err := a.Propose(ctx, state.Command{Acquire: &state.Acquire{
-		Name: n, VM: a.VM(), Incarnation: a.Incarnation(), Duration: leaseLength,
+		Name: n, VM: a.VM(), Incarnation: a.Incarnation(), Duration: s.opt.Lease,
 	}})
 	if err != nil || r.Code != state.OK || r.Lease == nil {
 		return h, held
@@ -143,6 +167,19 @@
 	return h, clock.Boot() < h.Until
 }
 
+// drop gives up a lease whose holder has been overtaken.
+func (s *Service) drop(ctx context.Context, h Hold) {
+	s.mu.Lock()
+	if s.held[h.Name].Fence == h.Fence {
+		s.held[h.Name] = Hold{Name: h.Name, Fence: h.Fence}
+	}
+	s.mu.Unlock()
+	klog.InfoS("Lease given up: a higher fencing number was seen", "lease", h.Name, "fence", h.Fence)
+	if _, err := s.opt.Authority.Propose(ctx, state.Command{Release: &state.Release{Name: h.Name, Fence: h.Fence}}); err != nil {
+		klog.InfoS("Lease not released", "lease", h.Name, "fence", h.Fence, "err", err)
+	}
+}
+
 // Order commits and sends one order to an engine of this data centre.
 func (s *Service) Order(ctx context.Context, u id.Upstream, kind order.Kind, value, reason string) error {
 	zone := s.opt.Authority.Zone()
--- a/internal/services/order/send.go
+++ b/internal/services/order/send.go
@@ -31,9 +31,9 @@
 	errRefused = errors.ConstError("the peer refused")
 )
 
-// sender writes orders on connections of their own, which the kernel may not keep delivering on after they are given
+// Sender writes orders on connections of their own, which the kernel may not keep delivering on after they are given
 // up: unacknowledged bytes are dropped after lingerBound and closing resets the connection.
-type sender struct {
+type Sender struct {
 	client *http.Client
 }
 
@@ -53,7 +53,8 @@
 
 type checkKey struct{}
 
-func newSender() *sender {
+// NewSender returns a sender.
+func NewSender() *Sender {
 	d := &net.Dialer{Timeout: sendTimeout, Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
 		cerr := c.Control(func(fd uintptr) {
@@ -81,38 +82,60 @@
 			return &guarded{Conn: c, check: check}, nil
 		},
 	}
-	return &sender{client: &http.Client{Transport: t, Timeout: sendTimeout}}
+	return &Sender{client: &http.Client{Transport: t, Timeout: sendTimeout}}
 }
 
-// post sends v as JSON where check holds at the moment of writing.
-func (s *sender) post(ctx context.Context, url string, fence id.Fence, v any, check func() bool) error {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return errors.Annotate(err, "encode")
-	}
+// Post sends body with header fields where check holds at the moment of writing, and returns the answer's status.
+func (s *Sender) Post(ctx context.Context, url string, header http.Header, body []byte, check func() bool) (int, []byte, error) {
 	if !check() {
-		return errNotSent
+		return 0, nil, errNotSent
 	}
 	ctx = context.WithValue(ctx, checkKey{}, check)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return errors.Annotatef(err, "build request to %s", url)
+		return 0, nil, errors.Annotatef(err, "build request to %s", url)
 	}
 	r.GetBody = nil
+	r.Header = header
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set(headerFence, strconv.FormatUint(uint64(fence), 10))
 	resp, err := s.client.Do(r)
 	if err != nil {
-		return errors.Annotatef(err, "post to %s", url)
+		return 0, nil, errors.Annotatef(err, "post to %s", url)
 	}
 	defer resp.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxReply))
-	if resp.StatusCode/100 != 2 {
-		return errors.WithType(errors.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text)), errRefused)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	return resp.StatusCode, bytes.TrimSpace(text), errors.Annotatef(err, "answer of %s", url)
+}
+
+// post sends v as JSON under fence.
+func (s *Sender) post(ctx context.Context, url string, fence id.Fence, v any, check func() bool) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Annotate(err, "encode")
+	}
+	h := http.Header{}
+	h.Set(headerFence, strconv.FormatUint(uint64(fence), 10))
+	status, text, err := s.Post(ctx, url, h, data, check)
+	if err != nil {
+		return err
+	}
+	if status/100 != 2 {
+		return errors.WithType(errors.Errorf("status %d: %s", status, text), errRefused)
 	}
 	return nil
 }
 
+// web speaks this project's own protocol to a platform.
+type web struct {
+	sender *Sender
+	url    string
+}
+
+// Report implements Platform.
+func (w *web) Report(ctx context.Context, _ id.VM, f id.Fence, r usage.Report, check func() bool) error {
+	return w.sender.post(ctx, w.url+"/v1/usage", f, report{Window: r.Window, Fence: f, Lines: r.Lines}, check)
+}
+
 // message is the JSON form of an order.
 type message struct {
 	ID     id.Index   `json:"id"`
@@ -122,7 +145,7 @@
 	Reason string     `json:"reason,omitempty"`
 }
 
-func (s *sender) order(ctx context.Context, address string, o order.Order, check func() bool) error {
+func (s *Sender) order(ctx context.Context, address string, o order.Order, check func() bool) error {
 	m := message{ID: o.ID, Kind: o.Kind, Value: o.Value, Fence: o.Fence, Reason: o.Reason}
 	return s.post(ctx, "http://"+address+"/v1/orders", o.Fence, m, check)
 }
@@ -133,7 +156,7 @@
 	Role  string   `json:"role"`
 }
 
-func (s *sender) readBack(ctx context.Context, address string) (engineState, error) {
+func (s *Sender) readBack(ctx context.Context, address string) (engineState, error) {
 	var st engineState
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/state", nil)
 	if err != nil {
--- a/internal/services/order/usage.go
+++ b/internal/services/order/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/lease"
@@ -20,16 +21,23 @@
 	return id.Window(t.UnixNano() / int64(length))
 }
 
-// seal fixes the figure of the latest window that has ended.
+// mostSeals is how many windows are sealed in one go: more than a change of the holder takes.
+const mostSeals = 12
+
+// seal fixes the figures of the windows that have ended.
 func (s *Service) seal(ctx context.Context, h Hold) {
-	ended := windowAt(time.Now().Add(-sealDelay), s.opt.Window) - 1
-	list := s.opt.Authority.State().Reports()
-	if n := len(list); n > 0 && list[n-1].Window >= ended {
-		return
+	ended := windowAt(s.opt.Now(clock.Boot()).Add(-s.opt.Delay), s.opt.Window) - 1
+	next := ended
+	if list := s.opt.Authority.State().Reports(); len(list) > 0 {
+		next = max(list[len(list)-1].Window+1, ended-min(ended, mostSeals))
 	}
-	r, err := s.opt.Authority.Propose(ctx, state.Command{Seal: &state.Seal{Window: ended, Fence: h.Fence}})
-	if err == nil && r.Code == state.OK {
-		klog.InfoS("Usage window sealed", "window", ended)
+	for ; next <= ended; next++ {
+		r, err := s.opt.Authority.Propose(ctx, state.Command{Seal: &state.Seal{Window: next, Fence: h.Fence}})
+		if err != nil || r.Code != state.OK {
+			klog.InfoS("Usage window not sealed", "window", next, "fence", h.Fence, "result", r.Message, "err", err)
+			return
+		}
+		klog.InfoS("Usage window sealed", "window", next, "fence", h.Fence)
 	}
 }
 
@@ -42,13 +50,23 @@
 		check := func() bool {
 			now := clock.Boot()
 			held, ok := s.Held(now, lease.Platform)
-			return ok && held.Fence == h.Fence && held.Until > now+sendTimeout+lingerBound
+			return ok && held.Fence == h.Fence && held.Until > now+reportMargin
 		}
-		body := report{Window: w.Window, Fence: h.Fence, Lines: w.Lines}
-		if err := s.sender.post(ctx, s.opt.Platform+"/v1/usage", h.Fence, body, check); err != nil {
-			klog.InfoS("Usage not reported", "window", w.Window, "platform", s.opt.Platform, "err", err)
+		err := s.opt.Port.Report(ctx, s.opt.Authority.VM(), h.Fence, w, check)
+		if errors.Is(err, ErrFenced) {
+			s.drop(ctx, h)
 			return
 		}
-		s.opt.Authority.Propose(ctx, state.Command{Ack: &state.Ack{Window: w.Window, Fence: h.Fence}})
+		if err != nil {
+			klog.InfoS("Usage not reported", "window", w.Window, "fence", h.Fence, "err", err)
+			return
+		}
+		r, err := s.opt.Authority.Propose(ctx, state.Command{Ack: &state.Ack{Window: w.Window, Fence: h.Fence}})
+		if err != nil || r.Code != state.OK {
+			klog.InfoS("Usage report not noted", "window", w.Window, "result", r.Message, "err", err)
+		}
 	}
 }
+
+// reportMargin is how much of the lease must be left when a report is written: the kernel delivers nothing later.
+const reportMargin = lingerBound
--- /dev/null
+++ b/internal/services/place/place.go
@@ -0,0 +1,118 @@
+package place
+
+import (
+	"time"
+
+	"wagtaillift/internal/modules/id"
+)
+
+// View is one engine at the moment of a decision.
+type View struct {
+	Reading id.Tokens // prompt tokens sent to it and not read yet, from all VMs
+	Running int       // requests at it, from all VMs
+	Slots   int       // requests it runs at once
+	Speed   float64   // prompt tokens it reads in a millisecond, as learnt
+	Cached  id.Tokens // leading tokens of the job that it keeps
+	Remote  bool      // it is in another data centre
+	Faults  float64   // part of its latest answers that failed
+	Place   uint64    // rank of the engine for the job's leading part, equal on all VMs
+}
+
+// Job is what a decision is about.
+type Job struct {
+	Tokens    id.Tokens // of the prompt
+	Bytes     int       // of the request
+	Objective time.Duration
+	Waited    time.Duration // since the caller's request arrived
+	Lenient   float64       // how late, in objectives, an answer is still worth its engine time
+}
+
+const (
+	firstToken = 15 * time.Millisecond // beyond reading: one step of a batch and the way
+	// farByte is the delay of a first token that moving a byte of the request between data centres is worth.
+	farByte = 4 * time.Microsecond
+	// rereadWeight is how much a millisecond of reading, which all requests of an engine pay, counts against one of
+	// waiting, which only this one pays.
+	rereadWeight = 1.0
+	faultDelay   = 400 * time.Millisecond // an engine that fails every answer is avoided up to this wait
+	fullDelay    = 300 * time.Millisecond // beyond its slots a request waits for another to end
+)
+
+// Rule names what decided.
+type Rule string
+
+// The rules of a decision.
+const (
+	Cached Rule = "cached" // the engine keeps leading parts of the prompt
+	Least  Rule = "least"  // no engine keeps any; the soonest takes it
+	Late   Rule = "late"   // no engine can answer in time
+	None   Rule = "none"   // there is no engine
+)
+
+// Choice is a decision with its inputs.
+type Choice struct {
+	Index  int // in the views; -1 where none takes the job
+	Rule   Rule
+	Wait   time.Duration // predicted time to the first token
+	Queue  time.Duration // of it, before this prompt is read
+	Unread id.Tokens
+}
+
+// reading returns how long v takes to read n tokens.
+func (v *View) reading(n id.Tokens) time.Duration {
+	return time.Duration(float64(n) / v.Speed * float64(time.Millisecond))
+}
+
+// queue returns how long v is busy before it reads another prompt.
+func (v *View) queue() time.Duration {
+	q := v.reading(v.Reading)
+	if v.Slots > 0 && v.Running >= v.Slots {
+		q += fullDelay
+	}
+	return q
+}
+
+// cost is what a choice of v costs the job and the requests after it.
+func (v *View) cost(j *Job) time.Duration {
+	read := v.reading(j.Tokens - v.Cached)
+	c := v.queue() + read + time.Duration(rereadWeight*float64(read))
+	if v.Remote {
+		c += time.Duration(j.Bytes) * farByte
+	}
+	return c + time.Duration(v.Faults*float64(faultDelay))
+}
+
+// Choose returns the engine at which j costs least. It answers bursts of prompts with shared leading parts: those meet
+// the engine that keeps the part until its queue costs more than reading the part again elsewhere. Where even that
+// engine's first token would come too late to be worth its engine time, none takes the job: it is turned away at once.
+func Choose(views []View, j *Job) Choice {
+	best := -1
+	var least time.Duration
+	for i := range views {
+		c := views[i].cost(j)
+		if best < 0 || c < least || c == least && views[i].Place > views[best].Place {
+			best, least = i, c
+		}
+	}
+	if best < 0 {
+		return Choice{Index: -1, Rule: None}
+	}
+	v := &views[best]
+	unread := j.Tokens - v.Cached
+	out := Choice{Index: best, Rule: Least, Unread: unread, Queue: v.queue(), Wait: v.queue() + v.reading(unread) + firstToken}
+	if v.Cached > 0 {
+		out.Rule = Cached
+	}
+	if late(&out, v.reading(unread), j) {
+		out.Index, out.Rule = -1, Late
+	}
+	return out
+}
+
+// late reports whether the first token comes too late. A prompt's own reading counts as at most half of the objective,
+// so that large prompts are not turned away for their size.
+func late(c *Choice, read time.Duration, j *Job) bool {
+	own := min(read, j.Objective/2)
+	limit := time.Duration(j.Lenient * float64(j.Objective))
+	return j.Waited+c.Queue+own > limit
+}
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -18,9 +18,11 @@
 	methodVouch = "vouch"
 	methodTable = "table"
 	methodPull  = "pull"
+	methodWord  = "word"
 	vouchEvery  = 500 * time.Millisecond
 	expireEvery = 250 * time.Millisecond
 	callTimeout = time.Second
+	tableMemory = 2 * time.Second // how long a relay passes a VM's word on
 )
 
 // vouchAnswer says whether the full list is needed.
@@ -61,7 +63,7 @@
 	t.heard[s.VM] = heardWord{word: s, at: now}
 	var list []summary
 	for vm, h := range t.heard {
-		if now-h.at > Silence {
+		if now-h.at > tableMemory {
 			delete(t.heard, vm)
 			continue
 		}
@@ -79,8 +81,11 @@
 	Members   func() map[id.VM]state.Member
 	VM        id.VM
 	Zone      id.Zone
-	table     Table
-	wake      chan struct{}
+	// Wide exchanges rosters over all data centres: upstreams announce themselves to control VMs, and every VM asks each
+	// of these for its list.
+	Wide  bool
+	table Table
+	wake  chan struct{}
 }
 
 // Register answers the other VMs. It comes before the transport serves.
@@ -99,6 +104,13 @@
 	peer.Handle(g.Transport, methodPull, func(context.Context, id.VM, summary) (Vouch, error) {
 		return g.Roster.Vouch(true), nil
 	})
+	peer.Handle(g.Transport, methodWord, func(_ context.Context, _ id.VM, s summary) (Vouch, error) {
+		v := g.Roster.Vouch(false)
+		if v.Epoch != s.Epoch || v.Version != s.Version {
+			v = g.Roster.Vouch(true)
+		}
+		return v, nil
+	})
 }
 
 // Changed makes the next message leave at once.
@@ -128,6 +140,10 @@
 
 // refresh renews this VM's word with the relay.
 func (g *Gossip) refresh(ctx context.Context) {
+	if g.Wide {
+		pause.Each(ctx, vouchEvery, func() { g.askAll(ctx) })
+		return
+	}
 	pause.Each(ctx, vouchEvery, func() {
 		if err := g.exchange(ctx); err != nil {
 			klog.V(1).InfoS("Relay does not answer", "err", err)
@@ -136,6 +152,27 @@
 	})
 }
 
+// askAll asks every control VM for its list, where this VM lacks it.
+func (g *Gossip) askAll(ctx context.Context) {
+	for vm, m := range g.Members() {
+		if m.Control && vm != g.VM {
+			go g.ask(ctx, m)
+		}
+	}
+}
+
+func (g *Gossip) ask(ctx context.Context, m state.Member) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	epoch, version := g.Roster.Known(m.VM)
+	v, err := peer.Call[Vouch](ctx, g.Transport, m.Peer, methodWord, summary{VM: g.VM, Epoch: epoch, Version: version})
+	if err != nil || v.VM != m.VM {
+		klog.V(1).InfoS("Roster not renewed", "peer", m.Peer, "err", err)
+		return
+	}
+	g.Roster.Hear(clock.Boot(), v)
+}
+
 // relay returns the VM that keeps the data centre's table: the first control VM by name, else the first VM.
 func (g *Gossip) relay() (state.Member, bool) {
 	var best state.Member
@@ -201,7 +238,7 @@
 // flood tells this VM's word to every VM of the data centre.
 func (g *Gossip) flood(ctx context.Context) {
 	for vm, m := range g.Members() {
-		if vm != g.VM && m.Zone == g.Zone {
+		if vm != g.VM && (g.Wide || m.Zone == g.Zone) {
 			go g.sendTo(ctx, m.Peer)
 		}
 	}
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -20,11 +20,15 @@
 )
 
 const (
-	// Silence is how long an upstream may be silent before it gets no new work.
+	// Silence is how long an upstream may be silent before it gets no new work, where the settings say nothing else.
 	Silence = 2 * time.Second
-	// Vouching is how long a VM's word for its upstreams holds.
-	Vouching    = 2500 * time.Millisecond
+	// Vouching is how long a VM's word for its upstreams holds under that silence.
+	Vouching = Silence + vouchSlack
+	// vouchSlack is how much longer than an upstream's silence a VM's word for its upstreams holds.
+	vouchSlack  = 500 * time.Millisecond
 	crashMemory = 10 * time.Second
+	// leftMemory is how long the end of an upstream is remembered: late announcements must not bring it back.
+	leftMemory = 30 * time.Second
 )
 
 // Upstream is one known upstream. The announcement is immutable; Work is shared by all snapshots.
@@ -46,6 +50,13 @@
 	bad      atomic.Uint64 // moving average of answers that missed the service level, float bits
 	settled  atomic.Bool   // the limit has been lowered once
 	lowered  atomic.Int64  // when, by the VM's clock in nanoseconds
+
+	Reading       atomic.Int64  // prompt tokens sent from this VM and not read yet
+	OtherRequests atomic.Int64  // in flight from other VMs, as they last told
+	OtherReading  atomic.Int64  // prompt tokens of theirs that are not read yet
+	faults        atomic.Uint64 // moving average of answers that failed, float bits
+	speed         atomic.Uint64 // prompt tokens read in a millisecond, as learnt, float bits
+	trips         atomic.Int64  // in a row
 }
 
 const (
@@ -119,6 +130,55 @@
 	return w.Pieces.Load() + others
 }
 
+// The constants of what is learnt from answers.
+const (
+	faultWeight = 0.15            // of the latest answer in the part that failed
+	firstSpeed  = 30.0            // prompt tokens a millisecond, until the first answers
+	speedWeight = 0.1             // of the latest answer in the speed
+	leastSpeed  = firstSpeed / 10 // below which a measurement says more about the way than about the engine
+	mostSpeed   = firstSpeed * 10
+	leastTrip   = 250 * time.Millisecond
+	mostTrip    = 4 * time.Second // twice the time in which an upstream announces itself again
+)
+
+// Judge counts an answer, failed or not, in the part that failed.
+func (w *Work) Judge(failed bool) {
+	v := math.Float64frombits(w.faults.Load()) * (1 - faultWeight)
+	if failed {
+		v += faultWeight
+	} else {
+		w.trips.Store(0)
+	}
+	w.faults.Store(math.Float64bits(v))
+}
+
+// Faults returns the part of the latest answers that failed.
+func (w *Work) Faults() float64 { return math.Float64frombits(w.faults.Load()) }
+
+// Speed returns how many prompt tokens the engine reads in a millisecond.
+func (w *Work) Speed() float64 {
+	if v := math.Float64frombits(w.speed.Load()); v > 0 {
+		return v
+	}
+	return firstSpeed
+}
+
+// Read learns from n prompt tokens that took d to read.
+func (w *Work) Read(n id.Tokens, d time.Duration) {
+	ms := d.Seconds() * 1000
+	if ms <= 0 {
+		return
+	}
+	v := min(mostSpeed, max(leastSpeed, float64(n)/ms))
+	w.speed.Store(math.Float64bits(w.Speed()*(1-speedWeight) + v*speedWeight))
+}
+
+// Trip opens the circuit at now after a connection failed: longer each time in a row.
+func (w *Work) Trip(now time.Duration) {
+	n := min(w.trips.Add(1)-1, 8)
+	w.openTill.Store(int64(now + min(mostTrip, leastTrip<<n)))
+}
+
 // Open reports whether the circuit is open at now.
 func (w *Work) Open(now time.Duration) bool { return int64(now) < w.openTill.Load() }
 
@@ -165,7 +225,8 @@
 // Roster is safe for concurrent use; Snapshot takes no lock.
 type Roster struct {
 	vm      id.VM
-	zone    id.Zone
+	zone    id.Zone // empty takes upstreams of every data centre
+	silence time.Duration
 	mu      sync.Mutex
 	own     source
 	peers   map[id.VM]*source
@@ -181,10 +242,18 @@
 	at          time.Duration
 }
 
-// New returns an empty roster. Changed is called, without the lock, after this VM's own list changed.
+// NewWide returns an empty roster of upstreams of every data centre, which may be silent for silence.
+func NewWide(vm id.VM, epoch uint64, silence time.Duration, changed func()) *Roster {
+	r := New(vm, "", epoch, changed)
+	r.silence = silence
+	return r
+}
+
+// New returns an empty roster of the upstreams of zone. Changed is called, without the lock, after this VM's own list
+// changed.
 func New(vm id.VM, zone id.Zone, epoch uint64, changed func()) *Roster {
 	r := &Roster{
-		vm: vm, zone: zone, changed: changed,
+		vm: vm, zone: zone, changed: changed, silence: Silence,
 		own:   source{epoch: epoch, version: 1, list: map[id.Upstream]*heard{}},
 		peers: map[id.VM]*source{},
 		work:  map[id.Upstream]*Work{},
@@ -202,7 +271,7 @@
 	if err := a.Check(); err != nil {
 		return err
 	}
-	if a.Zone != r.zone {
+	if r.zone != "" && a.Zone != r.zone {
 		return errors.NotValidf("upstream %q of zone %q announced in zone %q, so it", a.Name, a.Zone, r.zone)
 	}
 	r.mu.Lock()
@@ -211,9 +280,13 @@
 		r.mu.Unlock()
 		return errors.NotValidf("incarnation %d of upstream %q after %d", a.Incarnation, a.Name, old.announcement.Incarnation)
 	}
+	if known && old.announcement.Incarnation == a.Incarnation && a.Sequence > 0 && a.Sequence <= old.announcement.Sequence {
+		r.mu.Unlock()
+		return nil // delayed: a later announcement has arrived
+	}
 	load := a.Load
 	a.Load = nil
-	news := !known || old.announcement != a
+	news := !known || !same(old.announcement, a)
 	r.own.list[a.Name] = &heard{announcement: a, at: now}
 	if news {
 		r.own.version++
@@ -230,19 +303,66 @@
 	return nil
 }
 
+// same reports whether two announcements say the same of an upstream.
+func same(a, b engine.Announcement) bool {
+	a.Sequence, b.Sequence = 0, 0
+	return a == b
+}
+
+// Depart records that the upstream n of incarnation inc takes no new work from now on.
+func (r *Roster) Depart(now time.Duration, n id.Upstream, inc uint64) {
+	r.mu.Lock()
+	h, known := r.own.list[n]
+	if known && h.announcement.Incarnation > inc && inc > 0 {
+		r.mu.Unlock()
+		return
+	}
+	a := engine.Announcement{Name: n, Incarnation: inc}
+	if known {
+		a = h.announcement
+	} else if u, ok := r.find(n); ok {
+		a = u.Announcement
+	}
+	a.State, a.Sequence = engine.Leaving, math.MaxUint64
+	r.own.list[n] = &heard{announcement: a, at: now}
+	r.own.version++
+	r.rebuild(now)
+	klog.InfoS("Upstream departs", "upstream", n, "address", a.Address, "incarnation", a.Incarnation)
+	r.mu.Unlock()
+	r.changed()
+}
+
+// find returns n where it takes new work.
+func (r *Roster) find(n id.Upstream) (*Upstream, bool) {
+	for _, u := range r.current.Load().All {
+		if u.Name == n {
+			return u, true
+		}
+	}
+	return nil, false
+}
+
+// memory returns how long an announcement is kept without another one.
+func (r *Roster) memory(a engine.Announcement) time.Duration {
+	if a.State == engine.Leaving {
+		return max(r.silence, leftMemory)
+	}
+	return r.silence
+}
+
 // Expire drops upstreams that have been silent and VMs whose word has lapsed; it reports whether anything changed.
 func (r *Roster) Expire(now time.Duration) bool {
 	r.mu.Lock()
 	ownChanged, changed := false, false
 	for name, h := range r.own.list {
-		if now-h.at > Silence {
+		if now-h.at > r.memory(h.announcement) {
 			delete(r.own.list, name)
 			ownChanged = true
 			klog.InfoS("Upstream dropped: no heartbeat", "upstream", name, "address", h.announcement.Address, "for", now-h.at)
 		}
 	}
 	for vm, s := range r.peers {
-		if now-s.at > Vouching {
+		if now-s.at > r.silence+vouchSlack {
 			delete(r.peers, vm)
 			changed = true
 		}
@@ -325,6 +445,16 @@
 	return true
 }
 
+// Known returns which list of vm this VM has.
+func (r *Roster) Known(vm id.VM) (epoch, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.peers[vm]; ok {
+		return s.epoch, s.version
+	}
+	return 0, 0
+}
+
 func (r *Roster) workOf(n id.Upstream) *Work {
 	w, ok := r.work[n]
 	if !ok {
@@ -335,7 +465,7 @@
 }
 
 // rebuild publishes a new snapshot: for each upstream the announcement of its latest incarnation, where a leaving
-// state wins over a ready one.
+// state wins over a ready one. Where two upstreams name one address the later incarnation has it.
 func (r *Roster) rebuild(time.Duration) {
 	best := map[id.Upstream]engine.Announcement{}
 	take := func(s *source) {
@@ -352,6 +482,7 @@
 	for _, s := range r.peers {
 		take(s)
 	}
+	r.dropReused(best)
 	n := &Snapshot{Models: map[id.Model][]*Upstream{}, Services: map[id.Service][]*Upstream{}}
 	for name, a := range best {
 		if a.State != engine.Ready {
@@ -364,7 +495,7 @@
 	}
 	slices.SortFunc(n.All, func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
 	for _, u := range n.All {
-		if u.Model != "" {
+		if u.Service == "" {
 			n.Models[u.Model] = append(n.Models[u.Model], u)
 		} else {
 			n.Services[u.Service] = append(n.Services[u.Service], u)
@@ -374,6 +505,21 @@
 	r.current.Store(n)
 }
 
+// dropReused takes out upstreams whose address a later one has.
+func (r *Roster) dropReused(best map[id.Upstream]engine.Announcement) {
+	holder := map[string]engine.Announcement{}
+	for _, a := range best {
+		if old, ok := holder[a.Address]; !ok || a.Incarnation > old.Incarnation {
+			holder[a.Address] = a
+		}
+	}
+	for name, a := range best {
+		if h := holder[a.Address]; h.Name != name && h.Incarnation > a.Incarnation && a.State == engine.Ready {
+			delete(best, name)
+		}
+	}
+}
+
 // prune forgets the work of upstreams that are gone and idle.
 func (r *Roster) prune(known map[id.Upstream]engine.Announcement) {
 	for name, w := range r.work {
--- /dev/null
+++ b/internal/services/tally/tally.go
@@ -0,0 +1,218 @@
+// Package tally tells each VM what the others have sent to the upstreams: their outstanding work and where the leading
+// parts of prompts were read. Each VM exchanges its own figures with one control VM, several times a second.
+package tally
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/pause"
+	"wagtaillift/internal/modules/peer"
+)
+
+const (
+	method      = "tally"
+	period      = 100 * time.Millisecond // a tenth of the times to the first token that decisions aim at
+	restPeriods = 10                     // a VM without work exchanges once in so many periods
+	callTimeout = 300 * time.Millisecond
+	memory      = time.Second // after which a silent VM's work counts as done
+	ringLength  = 4096        // placements kept for VMs that ask less often
+)
+
+// Load is the outstanding work of one VM, or of several, at an upstream.
+type Load struct {
+	Upstream id.Upstream `cbor:"1,keyasint"`
+	Requests int64       `cbor:"2,keyasint"`
+	Reading  int64       `cbor:"3,keyasint,omitempty"` // prompt tokens not read yet
+}
+
+// Placed is a leading part of a prompt that was sent to an engine.
+type Placed struct {
+	Upstream id.Upstream `cbor:"1,keyasint"`
+	Chain    uint64      `cbor:"2,keyasint"`
+	Tokens   id.Tokens   `cbor:"3,keyasint"`
+}
+
+// sheet is what a VM tells.
+type sheet struct {
+	Loads  []Load   `cbor:"1,keyasint,omitempty"`
+	Placed []Placed `cbor:"2,keyasint,omitempty"`
+	Epoch  uint64   `cbor:"3,keyasint,omitempty"` // of the hub that After belongs to
+	After  uint64   `cbor:"4,keyasint,omitempty"` // placements up to here are known
+}
+
+// sums is what a VM learns: the work of the others, and their placements.
+type sums struct {
+	Loads  []Load   `cbor:"1,keyasint,omitempty"`
+	Placed []Placed `cbor:"2,keyasint,omitempty"`
+	Epoch  uint64   `cbor:"3,keyasint"`
+	Upto   uint64   `cbor:"4,keyasint"`
+}
+
+// Work is this VM's own side.
+type Work interface {
+	Loads() []Load
+	Placed() []Placed // since the last call
+	SetOthers(loads []Load)
+	Learn(list []Placed)
+}
+
+// Exchange runs the exchange of one VM, and on control VMs the hub.
+type Exchange struct {
+	VM        id.VM
+	Epoch     uint64
+	Transport *peer.Transport
+	Members   func() map[id.VM]state.Member
+	Work      Work // nil on a VM that sends nothing to upstreams
+
+	hub    hub
+	epoch  uint64
+	after  uint64
+	unsent []Placed
+	rest   int
+}
+
+// Register answers the other VMs. It comes before the transport serves.
+func (e *Exchange) Register() {
+	e.hub.epoch = e.Epoch
+	peer.Handle(e.Transport, method, func(_ context.Context, from id.VM, s sheet) (sums, error) {
+		return e.hub.exchange(clock.Boot(), from, s), nil
+	})
+}
+
+// Run exchanges until ctx ends.
+func (e *Exchange) Run(ctx context.Context) {
+	if e.Work == nil {
+		return
+	}
+	pause.Each(ctx, period, func() { e.once(ctx) })
+}
+
+// once makes one exchange with the first control VM that answers.
+func (e *Exchange) once(ctx context.Context) {
+	s := sheet{Loads: e.Work.Loads(), Epoch: e.epoch, After: e.after}
+	e.unsent = append(e.unsent, e.Work.Placed()...)
+	s.Placed = e.unsent
+	if len(s.Loads) == 0 && len(s.Placed) == 0 && e.rest < restPeriods {
+		e.rest++
+		return
+	}
+	e.rest = 0
+	for _, m := range e.hubs() {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		r, err := peer.Call[sums](call, e.Transport, m.Peer, method, s)
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("Tally not exchanged", "peer", m.Peer, "err", err)
+			continue
+		}
+		e.unsent = nil
+		e.epoch, e.after = r.Epoch, r.Upto
+		e.Work.SetOthers(r.Loads)
+		e.Work.Learn(r.Placed)
+		return
+	}
+	e.unsent = e.unsent[max(0, len(e.unsent)-ringLength):]
+}
+
+// hubs returns the control VMs in the order in which every VM tries them.
+func (e *Exchange) hubs() []state.Member {
+	var list []state.Member
+	for _, m := range e.Members() {
+		if m.Control && m.VM != e.VM {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b state.Member) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
+// hub adds up what VMs tell. The zero value is empty.
+type hub struct {
+	mu    sync.Mutex
+	epoch uint64
+	heard map[id.VM]heard
+	ring  []ringed
+	next  uint64 // number of the next placement
+}
+
+type heard struct {
+	at    time.Duration
+	loads []Load
+}
+
+type ringed struct {
+	vm id.VM
+	Placed
+}
+
+func (h *hub) exchange(now time.Duration, from id.VM, s sheet) sums {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.heard == nil {
+		h.heard = map[id.VM]heard{}
+	}
+	h.heard[from] = heard{at: now, loads: s.Loads}
+	out := sums{Epoch: h.epoch, Loads: h.others(now, from), Placed: h.after(from, s)}
+	for _, p := range s.Placed {
+		h.ring = append(h.ring, ringed{vm: from, Placed: p})
+	}
+	h.next += uint64(len(s.Placed))
+	if len(h.ring) > 2*ringLength {
+		h.ring = append([]ringed(nil), h.ring[len(h.ring)-ringLength:]...)
+	}
+	out.Upto = h.next
+	return out
+}
+
+// others adds up the outstanding work of every VM but from.
+func (h *hub) others(now time.Duration, from id.VM) []Load {
+	sum := map[id.Upstream]*Load{}
+	for vm, x := range h.heard {
+		if now-x.at > memory {
+			delete(h.heard, vm)
+			continue
+		}
+		if vm == from {
+			continue
+		}
+		for _, l := range x.loads {
+			t, ok := sum[l.Upstream]
+			if !ok {
+				t = &Load{Upstream: l.Upstream}
+				sum[l.Upstream] = t
+			}
+			t.Requests += l.Requests
+			t.Reading += l.Reading
+		}
+	}
+	list := make([]Load, 0, len(sum))
+	for _, l := range sum {
+		list = append(list, *l)
+	}
+	return list
+}
+
+// after returns the placements of other VMs that from has not been told.
+func (h *hub) after(from id.VM, s sheet) []Placed {
+	first := h.next - uint64(len(h.ring))
+	at := first
+	if s.Epoch == h.epoch {
+		at = min(max(first, s.After), h.next)
+	}
+	var list []Placed
+	for _, r := range h.ring[at-first:] {
+		if r.vm != from {
+			list = append(list, r.Placed)
+		}
+	}
+	return list
+}
