--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -41,6 +41,7 @@
 	refused int
 	ran     int    // attempts that may have run
 	begun   bool   // part of the answer is with the caller
+	inPlace bool   // an engine that only reads has refused or lost the prompt
 	kept    *whole // an upstream's failure, to be passed on where nothing better comes
 	tried   map[id.Upstream]bool
 	back    time.Duration // when an upstream that refused the call is asked again
@@ -61,11 +62,15 @@
 	}
 	p := progress{tried: map[id.Upstream]bool{}}
 	for {
-		h, err := f.choose(c, p.tried)
+		h, err := f.choose(c, &p)
 		if err != nil {
 			return f.end(parent, ctx, c, &p, err, out)
 		}
-		err = f.attempt(ctx, c, h, &p, out)
+		if h.apart {
+			err = f.apart(ctx, c, h, &p, out)
+		} else {
+			err = f.attempt(ctx, c, h, "", &p, out)
+		}
 		h.leave()
 		f.note(c, h, err)
 		if err == nil {
@@ -157,15 +162,56 @@
 	return &call.Refusal{Status: status, Code: code, Run: run, Step: step, Reason: reason, Err: err}
 }
 
+// apart has h read the prompt and another engine generate from it.
+func (f *Forwarder) apart(ctx context.Context, c *Call, h *chosen, p *progress, out Sink) error {
+	at := time.Now()
+	read, sent, err := f.Upstreams.Read(ctx, f.target(c, h), c)
+	if err == nil && read.NotRun {
+		err = errors.New("the prompt was refused")
+	}
+	if err != nil {
+		p.inPlace = true
+		p.tried[h.u.Name] = true
+		was := c.sent
+		err = f.broken(ctx, c, h, p, sent, err)
+		c.sent = was // reading a prompt is no run
+		var x *failure
+		if errors.As(err, &x) && sent {
+			p.ran--
+			x.notRun = true
+		}
+		return err
+	}
+	h.readOff()
+	took := time.Since(at)
+	if h.unread >= leastRead && h.ahead < h.unread {
+		h.u.Work.Read(true, h.unread+h.ahead, took)
+	}
+	next, err := f.chooseNext(c, p, h.u)
+	if err != nil {
+		return err
+	}
+	h.leave()
+	defer next.leave()
+	err = f.attempt(ctx, c, next, read.Source, p, out)
+	if err != nil {
+		p.inPlace = true // the prompt can be taken once
+	}
+	f.note(c, next, err)
+	return err
+}
+
 // attempt sends c to one upstream and passes the answer on.
-func (f *Forwarder) attempt(ctx context.Context, c *Call, h *chosen, p *progress, out Sink) error {
+func (f *Forwarder) attempt(ctx context.Context, c *Call, h *chosen, source string, p *progress, out Sink) error {
 	p.tried[h.u.Name] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := f.watch(c, p, cancel)
 	defer quiet.stop()
 	at := time.Now()
-	a, sent, err := f.Upstreams.Send(ctx, f.target(c, h), c)
+	t := f.target(c, h)
+	t.Source = source
+	a, sent, err := f.Upstreams.Send(ctx, t, c)
 	if err != nil {
 		return f.broken(ctx, c, h, p, sent, err)
 	}
@@ -362,6 +408,6 @@
 	f.began(c)
 	took := time.Since(at)
 	if h.unread >= leastRead && h.ahead < h.unread {
-		h.u.Work.Read(h.unread+h.ahead, took)
+		h.u.Work.Read(false, h.unread+h.ahead, took)
 	}
 }
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -63,6 +63,7 @@
 	Left        time.Duration // for the answer
 	Rank        int           // 0 is the most urgent
 	Seen        string        // id of the last event that the caller has
+	Source      string        // where the read prompt is to be had; empty where the upstream reads it
 	Allow       func() bool   // asked right before the write
 }
 
@@ -80,6 +81,16 @@
 // Upstreams is the port towards upstreams. An error with sent false says that no byte left.
 type Upstreams interface {
 	Send(ctx context.Context, t Target, c *Call) (a *Answer, sent bool, err error)
+	// Read has an engine read the prompt only, and returns where it is to be had. A refusal that NotRun marks counts as
+	// not read.
+	Read(ctx context.Context, t Target, c *Call) (p *Prepared, sent bool, err error)
+}
+
+// Prepared is a prompt that was read.
+type Prepared struct {
+	Source string // names the engine and the prompt's place there
+	Tokens id.Tokens
+	NotRun bool // the engine refused the prompt
 }
 
 // Sink takes the answer for the caller.
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -32,11 +32,13 @@
 // chosen is where one attempt goes, with what is to be undone after it.
 type chosen struct {
 	u      *roster.Upstream
+	apart  bool // u only reads the prompt
 	rule   string
 	wait   time.Duration // predicted time to the first event
 	unread id.Tokens
 	ahead  id.Tokens // tokens to be read before
 	once   sync.Once
+	left   sync.Once
 }
 
 // readOff takes the prompt out of what is to be read, once.
@@ -47,36 +49,40 @@
 // leave takes the request out of the upstream's work.
 func (h *chosen) leave() {
 	h.readOff()
-	h.u.Work.Requests.Add(-1)
+	h.left.Do(func() { h.u.Work.Requests.Add(-1) })
 }
 
 // choose picks the upstream of the next attempt and enters c there.
-func (f *Forwarder) choose(c *Call, tried map[id.Upstream]bool) (*chosen, error) {
-	list := f.eligible(c, tried)
+func (f *Forwarder) choose(c *Call, p *progress) (*chosen, error) {
+	model := c.service.Engine != nil && len(c.Parts) > 0
+	list := f.eligible(c, p, func(u *roster.Upstream) bool { return model && !p.begun && !p.inPlace || u.Role != engine.Prefill })
 	if len(list) == 0 {
 		return nil, refuse(http.StatusServiceUnavailable, call.NoUpstream, "no upstream of "+string(c.service.ID)+" is ready").After(whileUnknown)
 	}
-	var h *chosen
-	if c.service.Engine == nil || len(c.Parts) == 0 {
-		h = f.choosePlain(c, list)
-	} else {
-		var err error
-		if h, err = f.chooseEngine(c, list, len(tried) > 0); err != nil {
-			return nil, err
-		}
+	if !model {
+		return f.choosePlain(c, list).enter(), nil
+	}
+	h, err := f.chooseEngine(c, list, len(p.tried) > 0)
+	if err != nil {
+		return nil, err
 	}
+	return h.enter(), nil
+}
+
+// enter counts the request at its upstream.
+func (h *chosen) enter() *chosen {
 	h.u.Work.Requests.Add(1)
 	h.u.Work.Reading.Add(int64(h.unread))
-	return h, nil
+	return h
 }
 
 // eligible returns the upstreams that may take c: where all circuits are open, those too.
-func (f *Forwarder) eligible(c *Call, tried map[id.Upstream]bool) []*roster.Upstream {
+func (f *Forwarder) eligible(c *Call, p *progress, want func(*roster.Upstream) bool) []*roster.Upstream {
 	now := clock.Boot()
 	var closed, open []*roster.Upstream
 	for _, u := range f.Roster.Snapshot().Services[c.service.ID] {
 		switch {
-		case tried[u.Name] || u.Role == engine.Prefill:
+		case p.tried[u.Name] || !want(u):
 		case u.Work.Open(now):
 			open = append(open, u)
 		default:
@@ -89,6 +95,35 @@
 	return open
 }
 
+// The load, in slots, that moving a request or a read prompt to another data centre is worth avoiding.
+const (
+	farGenerate = 0.08
+	farMove     = 0.12
+)
+
+// chooseNext picks the engine that generates from a prompt that was read at from.
+func (f *Forwarder) chooseNext(c *Call, p *progress, from *roster.Upstream) (*chosen, error) {
+	var best *roster.Upstream
+	least := math.Inf(1)
+	for _, u := range f.eligible(c, p, func(u *roster.Upstream) bool { return u.Role != engine.Prefill }) {
+		load := float64(u.Work.Requests.Load()+u.Work.OtherRequests.Load())/float64(max(1, c.service.Engine.Slots)) + faultLoad*u.Work.Faults()
+		if u.Zone != f.Zone {
+			load += farGenerate
+		}
+		if u.Zone != from.Zone {
+			load += farMove
+		}
+		if load < least {
+			best, least = u, load
+		}
+	}
+	if best == nil {
+		return nil, refuse(http.StatusServiceUnavailable, call.NoUpstream, "no engine of "+string(c.service.ID)+" generates").After(whileUnknown)
+	}
+	h := &chosen{u: best, rule: "generate"}
+	return h.enter(), nil
+}
+
 // choosePlain takes the least loaded upstream, one of this data centre before others.
 func (f *Forwarder) choosePlain(c *Call, list []*roster.Upstream) *chosen {
 	var best *roster.Upstream
@@ -120,7 +155,8 @@
 			Reading: id.Tokens(u.Work.Reading.Load() + u.Work.OtherReading.Load()),
 			Running: int(u.Work.Requests.Load() + u.Work.OtherRequests.Load()),
 			Slots:   c.service.Engine.Slots,
-			Speed:   u.Work.Speed(),
+			Speed:   u.Work.Speed(u.Role == engine.Prefill),
+			Apart:   u.Role == engine.Prefill,
 			Cached:  f.known.cached(u, c.Parts),
 			Remote:  u.Zone != f.Zone,
 			Faults:  u.Work.Faults(),
@@ -142,7 +178,7 @@
 	}
 	u := list[ch.Index]
 	f.known.keep(u, c, memoryPart)
-	return &chosen{u: u, rule: string(ch.Rule), wait: ch.Wait, unread: ch.Unread, ahead: views[ch.Index].Reading}, nil
+	return &chosen{u: u, apart: u.Role == engine.Prefill, rule: string(ch.Rule), wait: ch.Wait, unread: ch.Unread, ahead: views[ch.Index].Reading}, nil
 }
 
 // spread returns d lengthened by up to half, by request, so that those that return do not come at once.
--- a/internal/services/place/place.go
+++ b/internal/services/place/place.go
@@ -15,6 +15,7 @@
 	Cached  id.Tokens // leading tokens of the job that it keeps
 	Remote  bool      // it is in another data centre
 	Faults  float64   // part of its latest answers that failed
+	Apart   bool      // it only reads prompts, and hands them on to an engine that generates
 	Place   uint64    // rank of the engine for the job's leading part, equal on all VMs
 }
 
@@ -31,11 +32,14 @@
 	firstToken = 15 * time.Millisecond // beyond reading: one step of a batch and the way
 	// farByte is the delay of a first token that moving a byte of the request between data centres is worth.
 	farByte = 4 * time.Microsecond
-	// rereadWeight is how much a millisecond of reading, which all requests of an engine pay, counts against one of
-	// waiting, which only this one pays.
-	rereadWeight = 1.0
-	faultDelay   = 400 * time.Millisecond // an engine that fails every answer is avoided up to this wait
-	fullDelay    = 300 * time.Millisecond // beyond its slots a request waits for another to end
+	// apartWeight and inPlaceWeight are how much a millisecond of reading, which all requests of an engine pay, counts
+	// against one of waiting, which only this one pays. Reading in place also holds up the answers that the engine generates.
+	apartWeight   = 1.0
+	inPlaceWeight = 3.0
+	// handOn is the time in which a read prompt moves to the engine that generates.
+	handOn     = 15 * time.Millisecond
+	faultDelay = 400 * time.Millisecond // an engine that fails every answer is avoided up to this wait
+	fullDelay  = 300 * time.Millisecond // beyond its slots a request waits for another to end
 )
 
 // Rule names what decided.
@@ -75,7 +79,12 @@
 // cost is what a choice of v costs the job and the requests after it.
 func (v *View) cost(j *Job) time.Duration {
 	read := v.reading(j.Tokens - v.Cached)
-	c := v.queue() + read + time.Duration(rereadWeight*float64(read))
+	c := v.queue() + read
+	if v.Apart {
+		c += handOn + time.Duration(apartWeight*float64(read))
+	} else {
+		c += time.Duration(inPlaceWeight * float64(read))
+	}
 	if v.Remote {
 		c += time.Duration(j.Bytes) * farByte
 	}
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -51,12 +51,12 @@
 	settled  atomic.Bool   // the limit has been lowered once
 	lowered  atomic.Int64  // when, by the VM's clock in nanoseconds
 
-	Reading       atomic.Int64  // prompt tokens sent from this VM and not read yet
-	OtherRequests atomic.Int64  // in flight from other VMs, as they last told
-	OtherReading  atomic.Int64  // prompt tokens of theirs that are not read yet
-	faults        atomic.Uint64 // moving average of answers that failed, float bits
-	speed         atomic.Uint64 // prompt tokens read in a millisecond, as learnt, float bits
-	trips         atomic.Int64  // in a row
+	Reading       atomic.Int64     // prompt tokens sent from this VM and not read yet
+	OtherRequests atomic.Int64     // in flight from other VMs, as they last told
+	OtherReading  atomic.Int64     // prompt tokens of theirs that are not read yet
+	faults        atomic.Uint64    // moving average of answers that failed, float bits
+	speed         [2]atomic.Uint64 // prompt tokens read in a millisecond, in place and apart, as learnt, float bits
+	trips         atomic.Int64     // in a row
 }
 
 const (
@@ -132,13 +132,14 @@
 
 // The constants of what is learnt from answers.
 const (
-	faultWeight = 0.15            // of the latest answer in the part that failed
-	firstSpeed  = 30.0            // prompt tokens a millisecond, until the first answers
-	speedWeight = 0.1             // of the latest answer in the speed
-	leastSpeed  = firstSpeed / 10 // below which a measurement says more about the way than about the engine
-	mostSpeed   = firstSpeed * 10
-	leastTrip   = 250 * time.Millisecond
-	mostTrip    = 4 * time.Second // twice the time in which an upstream announces itself again
+	faultWeight  = 0.15 // of the latest answer in the part that failed
+	firstApart   = 50.0 // prompt tokens a millisecond, until the first answers
+	firstInPlace = 25.0
+	speedWeight  = 0.1 // of the latest answer in the speed
+	leastSpeed   = 5.0 // below which a measurement says more about the way than about the engine
+	mostSpeed    = 500.0
+	leastTrip    = 250 * time.Millisecond
+	mostTrip     = 4 * time.Second // twice the time in which an upstream announces itself again
 )
 
 // Judge counts an answer, failed or not, in the part that failed.
@@ -155,22 +156,32 @@
 // Faults returns the part of the latest answers that failed.
 func (w *Work) Faults() float64 { return math.Float64frombits(w.faults.Load()) }
 
-// Speed returns how many prompt tokens the engine reads in a millisecond.
-func (w *Work) Speed() float64 {
-	if v := math.Float64frombits(w.speed.Load()); v > 0 {
+// Speed returns how many prompt tokens the engine reads in a millisecond, apart or in place.
+func (w *Work) Speed(apart bool) float64 {
+	if v := math.Float64frombits(w.speedOf(apart).Load()); v > 0 {
 		return v
 	}
-	return firstSpeed
+	if apart {
+		return firstApart
+	}
+	return firstInPlace
+}
+
+func (w *Work) speedOf(apart bool) *atomic.Uint64 {
+	if apart {
+		return &w.speed[1]
+	}
+	return &w.speed[0]
 }
 
 // Read learns from n prompt tokens that took d to read.
-func (w *Work) Read(n id.Tokens, d time.Duration) {
+func (w *Work) Read(apart bool, n id.Tokens, d time.Duration) {
 	ms := d.Seconds() * 1000
 	if ms <= 0 {
 		return
 	}
 	v := min(mostSpeed, max(leastSpeed, float64(n)/ms))
-	w.speed.Store(math.Float64bits(w.Speed()*(1-speedWeight) + v*speedWeight))
+	w.speedOf(apart).Store(math.Float64bits(w.Speed(apart)*(1-speedWeight) + v*speedWeight))
 }
 
 // Trip opens the circuit at now after a connection failed: longer each time in a row.
