--- a/internal/modules/setting/setting.go
+++ b/internal/modules/setting/setting.go
@@ -20,6 +20,7 @@
 	Data   Data   `json:"data"`
 	Caller Caller `json:"caller"`
 	Route  Route  `json:"route"`
+	Limit  Limit  `json:"limit"`
 	Lease  Lease  `json:"lease"`
 	Stop   Stop   `json:"stop"`
 	Memory int    `json:"memory" range:"0..1048576"`
@@ -78,6 +79,13 @@
 	Burst float64 `json:"burst" range:"0..100000"`
 }
 
+// Limit is how far customers may get beyond their rate and burst in any span.
+type Limit struct {
+	Over  float64       `json:"over" range:"0..1"`
+	Slack float64       `json:"slack" range:"0..1000000000"`
+	Span  time.Duration `json:"span" range:"0s..1h"`
+}
+
 // Lease is how long authority lasts without being renewed.
 type Lease struct {
 	VM       time.Duration `json:"vm" range:"500ms..10m"`
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -94,7 +94,8 @@
 		VM: id.VM(cfg.VM), Zone: id.Zone(cfg.Zone), Incarnation: inc, Peer: cfg.PeerAddress(),
 		Operator: cfg.Listen.Operator, Folder: cfg.Data.Folder, Seeds: cfg.SeedPeers(), Voters: cfg.Voters(),
 		First: cfg.Data.First, Transport: v.transport,
-		Timing: authority.Timing{Lease: cfg.VMLease(), Election: cfg.Lease.Election, Spare: cfg.Data.Spare},
+		Tolerance: tolerance(cfg),
+		Timing:    authority.Timing{Lease: cfg.VMLease(), Election: cfg.Lease.Election, Spare: cfg.Data.Spare},
 	})
 	if err != nil {
 		return nil, err
@@ -128,6 +129,11 @@
 	return cert.Ephemeral(id.VM(cfg.VM), id.Zone(cfg.Zone), time.Now())
 }
 
+// tolerance returns how far customers may get beyond their limits.
+func tolerance(cfg setting.Config) limit.Tolerance {
+	return limit.Tolerance{Over: cfg.Limit.Over, Slack: cfg.Limit.Slack, Span: cfg.Limit.Span}
+}
+
 // buildOrders sets up what is done under exclusive roles. A nil port speaks this project's own protocol.
 func (v *VM) buildOrders(port order.Platform) {
 	cfg := v.cfg
@@ -279,6 +285,7 @@
 }
 
 func (v *VM) buildLimits() {
+	v.limiter.Extra = tolerance(v.cfg)
 	v.limiter.Drawer, v.limiter.Short = v.authority, v.authority.ReportSoon
 	v.authority.OnDemand(func(now time.Duration) []authority.Demand {
 		var list []authority.Demand
@@ -290,7 +297,7 @@
 			if wanted < leastDemand && part == (limit.Part{}) {
 				return
 			}
-			list = append(list, authority.Demand{Customer: c, Wanted: wanted, Rate: part.Rate, Burst: part.Burst, Back: b.Back()})
+			list = append(list, authority.Demand{Customer: c, Wanted: wanted, Rate: part.Rate, Burst: part.Burst, Back: b.Back(), Size: b.Size()})
 		})
 		return list
 	})
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -21,6 +21,7 @@
 	"wagtaillift/internal/modules/rcu"
 	"wagtaillift/internal/modules/replica"
 	"wagtaillift/internal/modules/wal"
+	"wagtaillift/internal/services/limit"
 )
 
 const (
@@ -44,8 +45,9 @@
 	Operator    string // address of the administration API
 	Folder      string // data folder; empty for a VM that only follows
 	Seeds       []string
-	Voters      int    // most voters
-	First       bool   // the whole fleet starts for the first time: the seeds found its log
+	Voters      int  // most voters
+	First       bool // the whole fleet starts for the first time: the seeds found its log
+	Tolerance   limit.Tolerance
 	Timing      Timing // zero values stand for DefaultTiming
 	Transport   *peer.Transport
 }
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -223,7 +223,9 @@
 }
 
 func (l *leader) limitOf(cfg *state.Config, c id.Customer) limit.Part {
-	return limit.Part{Rate: cfg.Resolve(policy.Rate, c, "").Value, Burst: cfg.Resolve(policy.Burst, c, "").Value}
+	return l.a.opt.Tolerance.Apply(limit.Part{
+		Rate: cfg.Resolve(policy.Rate, c, "").Value, Burst: cfg.Resolve(policy.Burst, c, "").Value,
+	})
 }
 
 func (l *leader) divider(now time.Duration, c id.Customer) *limit.Divider {
@@ -274,7 +276,7 @@
 	g.Duration, g.Revision, g.Index = l.a.timing.Lease, l.a.Config().Revision, l.a.feed.Last()
 	for _, d := range r.Demands {
 		div := l.divider(now, d.Customer)
-		div.Report(r.VM, limit.Held{Wanted: d.Wanted, Part: limit.Part{Rate: d.Rate, Burst: d.Burst}, Back: d.Back})
+		div.Report(r.VM, limit.Held{Wanted: d.Wanted, Part: limit.Part{Rate: d.Rate, Burst: d.Burst}, Back: d.Back, Size: d.Size})
 		part, gift := div.Share(now, r.VM)
 		g.Shares = append(g.Shares, Share{Customer: d.Customer, Rate: part.Rate, Burst: part.Burst, Gift: gift})
 	}
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -62,6 +62,7 @@
 	Rate     float64     `cbor:"3,keyasint"`           // share in force at the VM, tokens a second
 	Burst    float64     `cbor:"4,keyasint"`           // share in force at the VM, tokens
 	Back     float64     `cbor:"5,keyasint,omitempty"` // tokens that a smaller share has dropped
+	Size     float64     `cbor:"6,keyasint,omitempty"` // mean tokens of a request
 }
 
 // Report is sent by every VM twice a second, through its relay, to the leader.
--- a/internal/services/call/call.go
+++ b/internal/services/call/call.go
@@ -124,7 +124,8 @@
 	Idempotent bool
 	Deadline   time.Time
 
-	Reserved id.Tokens // taken from the customer's rate
+	Wait     time.Duration // most that it may wait for its customer's rate; zero leaves that to the policy
+	Reserved id.Tokens     // taken from the customer's rate
 	Used     Used
 	Trail    []Attempt
 }
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -27,6 +27,7 @@
 	step         = "forward"
 	mostDecides  = 3 // decisions for one request whose configuration changes before it is sent
 	soon         = 200 * time.Millisecond
+	waitPart     = 10                     // part of the objective that a request may wait for its customer's rate: a refusal after more comes late
 	whileUnknown = 500 * time.Millisecond // a VM without configuration or lease has them again after about this time
 )
 
@@ -158,6 +159,7 @@
 	}
 	n := &call.Call{
 		ID: c.ID, Config: c.config, Customer: c.customer.ID, Prompt: c.cost(), Start: c.Start, Booted: c.Booted, Service: c.service,
+		Wait: max(time.Millisecond, c.route.Objective/waitPart),
 	}
 	err := f.Limiter.Reserve(ctx, clock.Boot, n)
 	var r *call.Refusal
--- a/internal/services/limit/bucket.go
+++ b/internal/services/limit/bucket.go
@@ -12,7 +12,9 @@
 // Bucket admits tokens on one VM inside its share. It takes no lock; the zero value admits nothing.
 type Bucket struct {
 	p      atomic.Pointer[fill]
-	asked  atomic.Int64 // tokens asked for since the last Demand
+	asked  atomic.Int64  // tokens asked for since the last Demand
+	count  atomic.Int64  // requests that asked for them
+	size   atomic.Uint64 // mean tokens of a request, float bits
 	demand atomic.Uint64
 	seen   atomic.Int64
 	back   atomic.Uint64 // tokens dropped by smaller shares, float bits
@@ -89,7 +91,29 @@
 func (b *Bucket) Part() Part { return b.load().part }
 
 // Ask counts n tokens as demand.
-func (b *Bucket) Ask(n float64) { b.asked.Add(int64(n)) }
+func (b *Bucket) Ask(n float64) {
+	b.asked.Add(int64(n))
+	b.count.Add(1)
+}
+
+// sizeMemory is the weight of the past in the mean size of a request, at each Demand.
+const sizeMemory = 0.8
+
+// Size returns the mean tokens of a request, as of the last Demand.
+func (b *Bucket) Size() float64 { return math.Float64frombits(b.size.Load()) }
+
+// measure updates the mean size by n tokens of the latest requests.
+func (b *Bucket) measure(n float64) {
+	count := b.count.Swap(0)
+	if count == 0 {
+		return
+	}
+	mean := n / float64(count)
+	if old := b.Size(); old > 0 {
+		mean = sizeMemory*old + (1-sizeMemory)*mean
+	}
+	b.size.Store(math.Float64bits(mean))
+}
 
 // Take admits n tokens at now where they are there.
 func (b *Bucket) Take(now time.Duration, n float64) bool {
@@ -134,6 +158,7 @@
 		b.asked.Add(int64(n))
 		return old
 	}
+	b.measure(n)
 	keep := math.Exp(-dt / demandMemory.Seconds())
 	rate := old*keep + n/dt*(1-keep)
 	b.demand.Store(math.Float64bits(rate))
--- a/internal/services/limit/divide.go
+++ b/internal/services/limit/divide.go
@@ -16,6 +16,7 @@
 	headroom   = 1.3  // divided rate, as a multiple of the demand, while that is below the customer's rate
 	minChange  = 0.02 // smaller relative changes of a share are not sent
 	idleDemand = 1.0  // tokens a second below which a VM's share returns to the rest
+	leastShare = 4.0  // mean requests that a share's burst holds; where it would hold fewer, every request draws
 )
 
 // Part is a share of one customer's rate (tokens a second) and burst (tokens).
@@ -29,6 +30,7 @@
 	Wanted float64
 	Part   Part
 	Back   float64 // tokens that a smaller burst has dropped since the last report
+	Size   float64 // tokens of a request, on average
 }
 
 // holding is what the divider knows of one VM's share.
@@ -36,6 +38,7 @@
 	granted Part // largest share that the VM may be applying
 	last    Part // share most recently sent
 	wanted  float64
+	size    float64
 }
 
 // Divider divides one customer's rate and burst between VMs. The zero value has nothing to divide.
@@ -62,7 +65,7 @@
 		x = &holding{granted: h.Part, last: h.Part}
 		d.held[vm] = x
 	}
-	x.wanted = h.Wanted
+	x.wanted, x.size = h.Wanted, h.Size
 	d.level += h.Back
 	if h.Part == x.last {
 		x.granted = h.Part // the VM has acknowledged the latest share
@@ -157,7 +160,11 @@
 	}
 	part := spread/float64(n) + (1-spread)*h.wanted/sum
 	rate := min(d.limit.Rate*(1-restRate), headroom*sum)
-	return Part{Rate: rate * part, Burst: d.limit.Burst * (1 - restPart) * part}
+	share := Part{Rate: rate * part, Burst: d.limit.Burst * (1 - restPart) * part}
+	if share.Burst < leastShare*h.size {
+		return Part{} // such a share would lie idle while requests do not fit into it
+	}
+	return share
 }
 
 // Draw takes n tokens from the undivided rest at now. It is refused where they are not there.
--- a/internal/services/limit/limiter.go
+++ b/internal/services/limit/limiter.go
@@ -27,6 +27,7 @@
 type Limiter struct {
 	buckets sync.Map // id.Customer to *Bucket
 	Drawer  Drawer
+	Extra   Tolerance
 	Short   func() // called when a share does not suffice, to report demand early
 }
 
@@ -51,7 +52,9 @@
 // big for this VM's share from the undivided rest, and else refuses with the time to come back.
 func (l *Limiter) Reserve(ctx context.Context, now func() time.Duration, c *call.Call) error {
 	need := float64(c.Prompt + c.Output)
-	total := c.Config.Resolve(policy.Burst, c.Customer, "").Value
+	total := l.Extra.Apply(Part{
+		Rate: c.Config.Resolve(policy.Rate, c.Customer, "").Value, Burst: c.Config.Resolve(policy.Burst, c.Customer, "").Value,
+	}).Burst
 	if need > total {
 		r := call.Refuse(http.StatusRequestEntityTooLarge, call.OverBurst, step,
 			"the request may need %.0f tokens and the customer's burst is %.0f", need, total)
@@ -60,6 +63,9 @@
 	b := l.Bucket(c.Customer)
 	b.Ask(need)
 	longest := c.Config.Seconds(policy.Wait, c.Customer, c.Service.ID)
+	if c.Wait > 0 {
+		longest = min(longest, c.Wait)
+	}
 	end := now() + longest
 	for {
 		at := now()
