A VM that joins keeps its lease until it has reported

Cause: a leader of long standing counted the silence of a VM that had just joined from its own election, so it removed the VM at its next duty, before the first report; the VM joined again, for seconds. Ruled out: lost reports (every report was answered with 'rejoin').

--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -34,6 +34,7 @@
 
 	since    time.Duration // status.Since that the state below belongs to
 	seen     map[id.VM]sighting
+	met      map[id.VM]meeting
 	renewals map[lease.Name]renewal
 	gone     map[id.VM]time.Duration
 	dividers map[id.Customer]*limit.Divider
@@ -51,6 +52,12 @@
 	wall        time.Duration // VM's clock of the day at its start, less the leader's steady clock
 }
 
+// meeting is when this leader first found an incarnation among the members.
+type meeting struct {
+	incarnation id.Incarnation
+	at          time.Duration
+}
+
 // renewal is when this VM first saw a lease at a renewal number.
 type renewal struct {
 	fence  id.Fence
@@ -115,6 +122,7 @@
 	}
 	l.since = since
 	l.seen = map[id.VM]sighting{}
+	l.met = map[id.VM]meeting{}
 	l.gone = map[id.VM]time.Duration{}
 	l.dividers = map[id.Customer]*limit.Divider{}
 	l.ending = nil
@@ -152,11 +160,7 @@
 func (l *leader) dead(now time.Duration) []state.Member {
 	var list []state.Member
 	for vm, m := range l.a.feed.Members() {
-		last := l.since
-		if s, ok := l.seen[vm]; ok && s.incarnation >= m.Incarnation {
-			last = s.at
-		}
-		if now > l.a.timing.ended(last) {
+		if last := l.lastHeard(now, m); now > l.a.timing.ended(last) {
 			list = append(list, m)
 			l.release(vm, now)
 		}
@@ -173,6 +177,20 @@
 	return list
 }
 
+// lastHeard returns when m is known to have been there last: its latest report, or when it was first found among the
+// members. A VM reports only after it has joined.
+func (l *leader) lastHeard(now time.Duration, m state.Member) time.Duration {
+	if s, ok := l.seen[m.VM]; ok && s.incarnation >= m.Incarnation {
+		return s.at
+	}
+	x, ok := l.met[m.VM]
+	if !ok || x.incarnation != m.Incarnation {
+		x = meeting{incarnation: m.Incarnation, at: now}
+		l.met[m.VM] = x
+	}
+	return x.at
+}
+
 // release takes back the shares of vm, those of autonomous customers once their autonomy is over.
 func (l *leader) release(vm id.VM, now time.Duration) {
 	cfg := l.a.Config()
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -65,6 +65,7 @@
 		if err := a.join(ctx); err != nil {
 			klog.V(1).InfoS("Join failed", "vm", a.opt.VM, "err", err)
 		}
+		a.ReportSoon()
 		return
 	}
 	if g.Duration == 0 || a.await(ctx, g.Index) != nil {
