Roles follow the mix: engines go over to reading or generating by pressure

Now the order's intent in the log takes the engine out at every VM until it announces its new role, and nothing is planned in the first seconds of work.

--- a/internal/models/order/order.go
+++ b/internal/models/order/order.go
@@ -29,11 +29,18 @@
 	Failed  State = "failed"
 )
 
+// Changes reports whether the upstream of incarnation life, which acts in role now, is about to act in another by o: it takes
+// no new work until it says that it has changed.
+func (o Order) Changes(life uint64, role string) bool {
+	return o.Kind == SetRole && o.State != Failed && o.Life == life && o.Value != role
+}
+
 // Order is one committed intent for one upstream.
 type Order struct {
 	ID       id.Index      `json:"id"`
 	Upstream id.Upstream   `json:"upstream"`
 	Zone     id.Zone       `json:"zone"`
+	Life     uint64        `json:"life,omitempty"` // incarnation of the upstream that the order is for
 	Kind     Kind          `json:"kind"`
 	Value    string        `json:"value"`
 	Fence    id.Fence      `json:"fence"`
--- a/internal/models/state/authority.go
+++ b/internal/models/state/authority.go
@@ -59,6 +59,7 @@
 	o := n.Order
 	o.ID, o.State = i, order.Pending
 	m.t.Orders[o.Upstream] = o
+	m.dirty = true
 	return ok()
 }
 
@@ -69,6 +70,7 @@
 	}
 	o.State, o.Reason = n.State, n.Reason
 	m.t.Orders[n.Upstream] = o
+	m.dirty = true
 	return ok()
 }
 
--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -3,6 +3,7 @@
 package state
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -57,6 +58,7 @@
 	dirty   bool
 	config  rcu.Value[*Config]
 	members rcu.Value[map[id.VM]Member]
+	latest  rcu.Value[map[id.Upstream]order.Order]
 }
 
 // New returns an empty machine.
@@ -118,6 +120,9 @@
 	return o, ok
 }
 
+// Latest returns the published last order of every upstream. It takes no lock.
+func (m *Machine) Latest() map[id.Upstream]order.Order { return m.latest.Load() }
+
 // Orders returns the last order of every upstream.
 func (m *Machine) Orders() []order.Order {
 	m.mu.Lock()
@@ -157,6 +162,7 @@
 		members[k] = v
 	}
 	m.members.Store(members)
+	m.latest.Store(maps.Clone(m.t.Orders))
 }
 
 // Apply executes the command at index i. An index that was applied before is skipped.
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -49,6 +49,7 @@
 		Window: func(now time.Duration) id.Window {
 			return id.Window(a.Wall(now).UnixNano() / int64(v.cfg.Bill.Window))
 		},
+		Orders:  a.State().Latest,
 		Retries: forward.Retries{Part: retryMargin * v.cfg.Route.Retries.Part, Burst: retryMargin * v.cfg.Route.Retries.Burst},
 	}
 	p.caller = &platform.Caller{Config: a.Config, Forwarder: p.forwarder, Stopping: &v.stopping, Record: countOutcome}
@@ -59,11 +60,11 @@
 		p.tally.Work = p.forwarder
 	}
 	p.tally.Register()
-	if v.cfg.Bill.Platform == "" {
-		v.buildOrders(nil)
-		return
+	var cloud order.Platform
+	if v.cfg.Bill.Platform != "" {
+		cloud = &platform.Cloud{Address: v.cfg.Bill.Platform, Sender: order.NewSender()}
 	}
-	v.buildOrders(&platform.Cloud{Address: v.cfg.Bill.Platform, Sender: order.NewSender()})
+	v.buildOrders(cloud, &platform.Engines{Sender: order.NewSender()})
 }
 
 // platformFaces returns the listeners of the platform's interface.
@@ -110,6 +111,9 @@
 		return
 	}
 	go p.tally.Run(ctx)
+	if v.authority.Control() {
+		go v.planRoles(ctx)
+	}
 	pause.Each(ctx, tidyEvery, func() {
 		wanted := map[string]bool{}
 		for _, u := range v.roster.Snapshot().All {
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -113,7 +113,7 @@
 		Burn: func(now time.Time) any { return v.burn.Report(now) },
 	}
 	v.operator.Register()
-	v.buildOrders(nil)
+	v.buildOrders(nil, nil)
 	return v, v.listen(v.faces())
 }
 
@@ -134,11 +134,12 @@
 	return limit.Tolerance{Over: cfg.Limit.Over, Slack: cfg.Limit.Slack, Span: cfg.Limit.Span}
 }
 
-// buildOrders sets up what is done under exclusive roles. A nil port speaks this project's own protocol.
-func (v *VM) buildOrders(port order.Platform) {
+// buildOrders sets up what is done under exclusive roles. Nil ports speak this project's own protocol.
+func (v *VM) buildOrders(port order.Platform, engines order.Engines) {
 	cfg := v.cfg
 	v.orders = order.New(order.Options{
-		Authority: v.authority, Roster: v.roster, Platform: cfg.Bill.Platform, Port: port, Window: cfg.Bill.Window,
+		Authority: v.authority, Roster: v.roster, Platform: cfg.Bill.Platform, Port: port, Engines: engines,
+		Wide: cfg.Route.Scope == "fleet", Window: cfg.Bill.Window,
 		Delay: cfg.Bill.Delay, Lease: cfg.Lease.Duty, Now: v.authority.Wall,
 	})
 }
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -79,10 +79,11 @@
 // eligible returns the upstreams that may take c: where all circuits are open, those too.
 func (f *Forwarder) eligible(c *Call, p *progress, want func(*roster.Upstream) bool) []*roster.Upstream {
 	now := clock.Boot()
+	orders := f.Orders()
 	var closed, open []*roster.Upstream
 	for _, u := range f.Roster.Snapshot().Services[c.service.ID] {
 		switch {
-		case p.tried[u.Name] || !want(u):
+		case p.tried[u.Name] || !want(u) || orders[u.Name].Changes(u.Incarnation, string(u.Role)):
 		case u.Work.Open(now):
 			open = append(open, u)
 		default:
@@ -171,6 +172,9 @@
 		j.Lenient = math.MaxFloat32
 	}
 	ch := place.Choose(views, &j)
+	if !again {
+		f.ask(c.service.ID, c.Parts[len(c.Parts)-1].Tokens)
+	}
 	if ch.Index < 0 {
 		back := min(mostReturn, max(leastReturn, ch.Queue-c.route.Objective/2))
 		klog.InfoS("Turned away", "request", c.ID, "rule", ch.Rule, "queue", ch.Queue, "unread", ch.Unread, "objective", c.route.Objective, "return", back)
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/models/usage"
@@ -57,9 +58,12 @@
 	Window  func(now time.Duration) id.Window
 	Members func() int // VMs that send requests to upstreams
 	Retries Retries
+	// Orders returns the last order of every upstream: one that changes its role takes no new work.
+	Orders func() map[id.Upstream]order.Order
 
 	budgets sync.Map // id.Service to *retry.Budget
 	known   memories
+	asked   sync.Map // id.Service to *atomic.Int64
 }
 
 // Serve answers c at out. A refusal is for the caller's face to write; ErrCut and ErrGone end the connection.
--- a/internal/services/order/order.go
+++ b/internal/services/order/order.go
@@ -50,6 +50,8 @@
 	Roster    *roster.Roster
 	Platform  string                            // base URL; empty reports nothing, unless Port is set
 	Port      Platform                          // towards the platform; nil speaks this project's own protocol to Platform
+	Engines   Engines                           // towards engines; nil speaks this project's own protocol
+	Wide      bool                              // one control VM orders the engines of all data centres
 	Window    time.Duration                     // of usage
 	Delay     time.Duration                     // after a window's end until its figure is fixed; zero means sealDelay
 	Lease     time.Duration                     // of the exclusive roles; zero means leaseLength
@@ -62,6 +64,14 @@
 	Report(ctx context.Context, holder id.VM, f id.Fence, r usage.Report, check func() bool) error
 }
 
+// Engines takes orders to engines. Errors name what is known: errNotSent and errRefused as the sender's, ErrFenced.
+type Engines interface {
+	// Send writes o to an engine; check is asked right before the write.
+	Send(ctx context.Context, holder id.VM, to engine.Announcement, o order.Order, check func() bool) error
+	// Taken reports whether the engine has taken o.
+	Taken(ctx context.Context, to engine.Announcement, o order.Order) (bool, error)
+}
+
 // ErrFenced says that the peer has seen a higher fencing number.
 const ErrFenced = errors.ConstError("a higher fencing number was seen")
 
@@ -90,6 +100,9 @@
 	if opt.Port == nil && opt.Platform != "" {
 		s.opt.Port = &web{sender: s.sender, url: opt.Platform}
 	}
+	if opt.Engines == nil {
+		s.opt.Engines = &web{sender: s.sender}
+	}
 	if opt.Now == nil {
 		s.opt.Now = func(time.Duration) time.Time { return time.Now() }
 	}
@@ -106,9 +119,10 @@
 	if !s.opt.Authority.Leased(now, 0) {
 		return
 	}
-	zone := s.opt.Authority.Zone()
-	if h, ok := s.keep(ctx, lease.Engines(zone)); ok {
-		s.finishPending(ctx, h, zone)
+	if !s.opt.Wide || s.opt.Authority.Control() {
+		if h, ok := s.keep(ctx, s.engines()); ok {
+			s.finishPending(ctx, h)
+		}
 	}
 	if s.opt.Port == nil || !s.opt.Authority.Control() {
 		return // only control VMs know the usage
@@ -119,6 +133,26 @@
 	}
 }
 
+// allZones stands for all data centres in the name of a lease.
+const allZones = "all"
+
+// engines returns the lease for orders to the engines that this VM may order.
+func (s *Service) engines() lease.Name {
+	if s.opt.Wide {
+		return lease.Engines(allZones)
+	}
+	return lease.Engines(s.opt.Authority.Zone())
+}
+
+// Orders reports whether this VM may order engines at now.
+func (s *Service) Orders(now time.Duration) bool {
+	h, ok := s.Held(now, s.engines())
+	return ok && now >= h.acquired+settleTime
+}
+
+// settleTime is how long a new holder waits before it acts: what an earlier one wrote has arrived by then.
+const settleTime = orderWithin + sendTimeout + lingerBound
+
 // Held returns the lease n as this VM holds it at now.
 func (s *Service) Held(now time.Duration, n lease.Name) (Hold, bool) {
 	s.mu.Lock()
@@ -182,13 +216,13 @@
 
 // Order commits and sends one order to an engine of this data centre.
 func (s *Service) Order(ctx context.Context, u id.Upstream, kind order.Kind, value, reason string) error {
-	zone := s.opt.Authority.Zone()
 	now := clock.Boot()
-	h, ok := s.Held(now, lease.Engines(zone))
-	if !ok || h.Until < now+orderWithin+sendTimeout {
+	h, ok := s.Held(now, s.engines())
+	if !ok || h.Until < now+sendTimeout {
 		return ErrNotHeld
 	}
-	o := order.Order{Upstream: u, Zone: zone, Kind: kind, Value: value, Fence: h.Fence, Within: orderWithin, Reason: reason}
+	target, found := s.find(u)
+	o := order.Order{Upstream: u, Life: target.Incarnation, Zone: s.opt.Authority.Zone(), Kind: kind, Value: value, Fence: h.Fence, Within: orderWithin, Reason: reason}
 	r, err := s.opt.Authority.Propose(ctx, state.Command{Intent: &state.Intent{Lease: h.Name, Order: o}})
 	if err != nil {
 		return errors.Annotatef(err, "commit order to %s", u)
@@ -197,8 +231,7 @@
 		return errors.Errorf("commit order to %s: %s", u, r.Message)
 	}
 	o.ID = r.Index
-	target, ok := s.find(u)
-	if !ok {
+	if !found {
 		return s.end(ctx, o, order.Failed, "the upstream is gone")
 	}
 	return s.send(ctx, h, o, target, now+orderWithin)
@@ -212,12 +245,15 @@
 		held, ok := s.Held(now, h.Name)
 		return ok && held.Fence == h.Fence && now < deadline && held.Until > now+sendTimeout
 	}
-	err := s.sender.order(ctx, target.Address, o, check)
+	err := s.opt.Engines.Send(ctx, s.opt.Authority.VM(), target, o, check)
 	switch {
 	case err == nil:
 		return s.end(ctx, o, order.Done, "")
 	case errors.Is(err, errNotSent):
 		return s.end(ctx, o, order.Failed, "not sent: "+err.Error())
+	case errors.Is(err, ErrFenced):
+		s.drop(ctx, h)
+		return errors.Annotatef(err, "order to upstream %s", target.Address)
 	case errors.Is(err, errRefused):
 		return s.end(ctx, o, order.Failed, err.Error())
 	}
@@ -245,13 +281,13 @@
 
 // finishPending settles orders whose outcome is not known. It first waits until no earlier holder can still write, and
 // the kernel can deliver nothing more, and then reads the engine's state back.
-func (s *Service) finishPending(ctx context.Context, h Hold, zone id.Zone) {
+func (s *Service) finishPending(ctx context.Context, h Hold) {
 	now := clock.Boot()
-	if now < h.acquired+orderWithin+sendTimeout+lingerBound {
+	if now < h.acquired+settleTime {
 		return
 	}
 	for _, o := range s.opt.Authority.State().Orders() {
-		if o.Zone != zone || o.State != order.Pending {
+		if !s.opt.Wide && o.Zone != s.opt.Authority.Zone() || o.State != order.Pending {
 			continue
 		}
 		target, ok := s.find(o.Upstream)
@@ -259,12 +295,12 @@
 			s.end(ctx, o, order.Failed, "the upstream is gone")
 			continue
 		}
-		st, err := s.sender.readBack(ctx, target.Address)
+		taken, err := s.opt.Engines.Taken(ctx, target, o)
 		if err != nil {
 			klog.InfoS("Order not read back", "upstream", o.Upstream, "address", target.Address, "err", err)
 			continue
 		}
-		if st.Order == o.ID {
+		if taken {
 			s.end(ctx, o, order.Done, "read back")
 		} else {
 			s.end(ctx, o, order.Failed, "read back: the engine never had it")
--- a/internal/services/order/order_test.go
+++ b/internal/services/order/order_test.go
@@ -182,7 +182,7 @@
 	s.expire()
 	h := s.hold(1)
 	require.Error(t, s.list[1].Order(context.Background(), "e1", order.SetRole, "prefill", "too early"))
-	s.list[1].finishPending(context.Background(), h, "a")
+	s.list[1].finishPending(context.Background(), h)
 	o, _ = s.log.m.Order("e1")
 	require.Equal(t, order.Pending, o.State, "settled before nothing could arrive any more")
 	end := time.Now().Add(waitLimit)
@@ -190,7 +190,7 @@
 		require.True(t, time.Now().Before(end))
 		time.Sleep(50 * time.Millisecond)
 		h = s.hold(1)
-		s.list[1].finishPending(context.Background(), h, "a")
+		s.list[1].finishPending(context.Background(), h)
 		o, _ = s.log.m.Order("e1")
 	}
 	require.Equal(t, order.Done, o.State)
--- a/internal/services/order/send.go
+++ b/internal/services/order/send.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/id"
@@ -136,6 +137,36 @@
 	return w.sender.post(ctx, w.url+"/v1/usage", f, report{Window: r.Window, Fence: f, Lines: r.Lines}, check)
 }
 
+// Send implements Engines.
+func (w *web) Send(ctx context.Context, _ id.VM, to engine.Announcement, o order.Order, check func() bool) error {
+	return w.sender.order(ctx, to.Address, o, check)
+}
+
+// Taken implements Engines.
+func (w *web) Taken(ctx context.Context, to engine.Announcement, o order.Order) (bool, error) {
+	st, err := w.sender.readBack(ctx, to.Address)
+	return st.Order == o.ID, err
+}
+
+// Refused marks err as a peer's refusal: what was sent has no effect.
+func Refused(err error) error { return errors.WithType(err, errRefused) }
+
+// Get reads url.
+func (s *Sender) Get(ctx context.Context, url string, header http.Header) (int, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil, errors.Annotatef(err, "build request to %s", url)
+	}
+	r.Header = header
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return 0, nil, errors.Annotatef(err, "get %s", url)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	return resp.StatusCode, text, errors.Annotatef(err, "answer of %s", url)
+}
+
 // message is the JSON form of an order.
 type message struct {
 	ID     id.Index   `json:"id"`
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -130,10 +130,10 @@
 	return w.Pieces.Load() + others
 }
 
-// The constants of what is learnt from answers.
+// The constants of what is learnt from answers. FirstApart stands for the reading speed of an engine that is not known.
 const (
 	faultWeight  = 0.15 // of the latest answer in the part that failed
-	firstApart   = 50.0 // prompt tokens a millisecond, until the first answers
+	FirstApart   = 50.0 // prompt tokens a millisecond, until the first answers
 	firstInPlace = 25.0
 	speedWeight  = 0.1 // of the latest answer in the speed
 	leastSpeed   = 5.0 // below which a measurement says more about the way than about the engine
@@ -162,7 +162,7 @@
 		return v
 	}
 	if apart {
-		return firstApart
+		return FirstApart
 	}
 	return firstInPlace
 }
--- a/internal/services/tally/tally.go
+++ b/internal/services/tally/tally.go
@@ -5,10 +5,12 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/state"
@@ -20,6 +22,7 @@
 
 const (
 	method      = "tally"
+	methodTotal = "totals"
 	period      = 100 * time.Millisecond // a tenth of the times to the first token that decisions aim at
 	restPeriods = 10                     // a VM without work exchanges once in so many periods
 	callTimeout = 300 * time.Millisecond
@@ -47,6 +50,19 @@
 	Placed []Placed `cbor:"2,keyasint,omitempty"`
 	Epoch  uint64   `cbor:"3,keyasint,omitempty"` // of the hub that After belongs to
 	After  uint64   `cbor:"4,keyasint,omitempty"` // placements up to here are known
+	Asked  []Asked  `cbor:"5,keyasint,omitempty"` // since the last sheet
+}
+
+// Asked is the prompt tokens that callers of a service asked to have read, those turned away included.
+type Asked struct {
+	Service id.Service `cbor:"1,keyasint"`
+	Tokens  int64      `cbor:"2,keyasint"`
+}
+
+// Totals is the work of all VMs.
+type Totals struct {
+	Loads []Load                 `cbor:"1,keyasint,omitempty"`
+	Read  map[id.Service]float64 `cbor:"2,keyasint,omitempty"` // prompt tokens a second, a moving average
 }
 
 // sums is what a VM learns: the work of the others, and their placements.
@@ -61,6 +77,7 @@
 type Work interface {
 	Loads() []Load
 	Placed() []Placed // since the last call
+	Asked() []Asked   // since the last call
 	SetOthers(loads []Load)
 	Learn(list []Placed)
 }
@@ -77,6 +94,7 @@
 	epoch  uint64
 	after  uint64
 	unsent []Placed
+	asked  map[id.Service]int64
 	rest   int
 }
 
@@ -86,6 +104,9 @@
 	peer.Handle(e.Transport, method, func(_ context.Context, from id.VM, s sheet) (sums, error) {
 		return e.hub.exchange(clock.Boot(), from, s), nil
 	})
+	peer.Handle(e.Transport, methodTotal, func(context.Context, id.VM, struct{}) (Totals, error) {
+		return e.hub.totals(clock.Boot()), nil
+	})
 }
 
 // Run exchanges until ctx ends.
@@ -100,7 +121,7 @@
 func (e *Exchange) once(ctx context.Context) {
 	s := sheet{Loads: e.Work.Loads(), Epoch: e.epoch, After: e.after}
 	e.unsent = append(e.unsent, e.Work.Placed()...)
-	s.Placed = e.unsent
+	s.Placed, s.Asked = e.unsent, e.gather()
 	if len(s.Loads) == 0 && len(s.Placed) == 0 && e.rest < restPeriods {
 		e.rest++
 		return
@@ -114,7 +135,7 @@
 			klog.V(1).InfoS("Tally not exchanged", "peer", m.Peer, "err", err)
 			continue
 		}
-		e.unsent = nil
+		e.unsent, e.asked = nil, nil
 		e.epoch, e.after = r.Epoch, r.Upto
 		e.Work.SetOthers(r.Loads)
 		e.Work.Learn(r.Placed)
@@ -123,11 +144,48 @@
 	e.unsent = e.unsent[max(0, len(e.unsent)-ringLength):]
 }
 
+// gather returns what was asked since the last exchange that succeeded.
+func (e *Exchange) gather() []Asked {
+	if e.asked == nil {
+		e.asked = map[id.Service]int64{}
+	}
+	for _, a := range e.Work.Asked() {
+		e.asked[a.Service] += a.Tokens
+	}
+	list := make([]Asked, 0, len(e.asked))
+	for s, n := range e.asked {
+		list = append(list, Asked{Service: s, Tokens: n})
+	}
+	return list
+}
+
+// Totals returns the work of all VMs, from the control VM that the others tell it to.
+func (e *Exchange) Totals(ctx context.Context) (Totals, error) {
+	err := error(nil)
+	for _, m := range e.everyHub() {
+		if m.VM == e.VM {
+			return e.hub.totals(clock.Boot()), nil
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		var t Totals
+		t, err = peer.Call[Totals](call, e.Transport, m.Peer, methodTotal, struct{}{})
+		cancel()
+		if err == nil {
+			return t, nil
+		}
+	}
+	return Totals{}, errors.Annotate(err, "ask for the totals")
+}
+
 // hubs returns the control VMs in the order in which every VM tries them.
 func (e *Exchange) hubs() []state.Member {
+	return slices.DeleteFunc(e.everyHub(), func(m state.Member) bool { return m.VM == e.VM })
+}
+
+func (e *Exchange) everyHub() []state.Member {
 	var list []state.Member
 	for _, m := range e.Members() {
-		if m.Control && m.VM != e.VM {
+		if m.Control {
 			list = append(list, m)
 		}
 	}
@@ -142,6 +200,48 @@
 	heard map[id.VM]heard
 	ring  []ringed
 	next  uint64 // number of the next placement
+	read  map[id.Service]*rate
+}
+
+// rate is a moving average of an amount per second.
+type rate struct {
+	value float64
+	at    time.Duration
+	since time.Duration
+}
+
+// rateMemory is the time constant of rates: long against a burst of requests, short against a shift of the mix.
+const rateMemory = 3 * time.Second
+
+// add counts n at now; value is as of now afterwards.
+func (r *rate) add(now time.Duration, n float64) {
+	if dt := now - r.at; dt > 0 {
+		r.value *= math.Exp(-dt.Seconds() / rateMemory.Seconds())
+		r.at = now
+	}
+	r.value += n / rateMemory.Seconds()
+}
+
+// get returns the average at now, over the time that has passed where that is short.
+func (r *rate) get(now time.Duration) float64 {
+	r.add(now, 0)
+	if now <= r.since {
+		return 0
+	}
+	return r.value / (1 - math.Exp(-(now-r.since).Seconds()/rateMemory.Seconds()))
+}
+
+// totals returns the work of all VMs.
+func (h *hub) totals(now time.Duration) Totals {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := Totals{Loads: h.others(now, ""), Read: map[id.Service]float64{}}
+	for s, r := range h.read {
+		if now-r.since > rateMemory {
+			t.Read[s] = r.get(now)
+		}
+	}
+	return t
 }
 
 type heard struct {
@@ -166,6 +266,7 @@
 		h.ring = append(h.ring, ringed{vm: from, Placed: p})
 	}
 	h.next += uint64(len(s.Placed))
+	h.count(now, s.Asked)
 	if len(h.ring) > 2*ringLength {
 		h.ring = append([]ringed(nil), h.ring[len(h.ring)-ringLength:]...)
 	}
@@ -173,6 +274,20 @@
 	return out
 }
 
+func (h *hub) count(now time.Duration, list []Asked) {
+	if h.read == nil {
+		h.read = map[id.Service]*rate{}
+	}
+	for _, a := range list {
+		r, ok := h.read[a.Service]
+		if !ok {
+			r = &rate{at: now, since: now}
+			h.read[a.Service] = r
+		}
+		r.add(now, float64(a.Tokens))
+	}
+}
+
 // others adds up the outstanding work of every VM but from.
 func (h *hub) others(now time.Duration, from id.VM) []Load {
 	sum := map[id.Upstream]*Load{}
