A change is confirmed once it is in force on every VM that serves

Now the leader waits for each VM's report, or until the VM has been silent for so long that its lease ends inside the bound. Also: a VM that was removed while cut off and joins again with its incarnation keeps its lease until it reports (it was removed each 200 ms); a report goes to another control VM where the relay does not answer; open routes need the lease too. Tests: TestRemovedVMJoinsAgain fails without the change.

--- a/internal/modules/setting/setting.go
+++ b/internal/modules/setting/setting.go
@@ -90,6 +90,7 @@
 type Lease struct {
 	VM       time.Duration `json:"vm" range:"500ms..10m"`
 	Revoke   time.Duration `json:"revoke" range:"0s..10m"`
+	Apply    time.Duration `json:"apply" range:"0s..10m"`
 	Duty     time.Duration `json:"duty" range:"1s..10m"`
 	Election time.Duration `json:"election" range:"100ms..1m"`
 }
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -95,7 +95,7 @@
 		Operator: cfg.Listen.Operator, Folder: cfg.Data.Folder, Seeds: cfg.SeedPeers(), Voters: cfg.Voters(),
 		First: cfg.Data.First, Transport: v.transport,
 		Tolerance: tolerance(cfg),
-		Timing:    authority.Timing{Lease: cfg.VMLease(), Election: cfg.Lease.Election, Spare: cfg.Data.Spare},
+		Timing:    authority.Timing{Lease: cfg.VMLease(), Election: cfg.Lease.Election, Apply: cfg.Lease.Apply, Spare: cfg.Data.Spare},
 	})
 	if err != nil {
 		return nil, err
--- a/internal/services/authority/handle.go
+++ b/internal/services/authority/handle.go
@@ -212,6 +212,12 @@
 	return a.force(ctx, forceRequest{Revision: r, Wait: wait})
 }
 
+// Confirmed waits up to wait until every VM has applied revision r, or has been silent for so long that it stops serving
+// before the bound for changes is over. It returns the VMs that neither holds for.
+func (a *Authority) Confirmed(ctx context.Context, r id.Revision, wait time.Duration) (Force, error) {
+	return a.force(ctx, forceRequest{Revision: r, Wait: wait, Bounded: true})
+}
+
 func (a *Authority) force(ctx context.Context, q forceRequest) (Force, error) {
 	if a.Leading(clock.Boot()) {
 		return a.leader.force(ctx, q), nil
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -203,6 +203,7 @@
 		l.ending = append(l.ending, ending{customer: c, vm: vm, at: now + lease.EndedAt(0, autonomy)})
 	}
 	delete(l.seen, vm)
+	delete(l.met, vm) // the same incarnation may join again
 	if _, ok := l.gone[vm]; !ok {
 		l.gone[vm] = now
 	}
@@ -338,7 +339,7 @@
 func (l *leader) force(ctx context.Context, q forceRequest) Force {
 	end := time.Now().Add(q.Wait)
 	for {
-		f := l.forceNow(q.Revision)
+		f := l.forceNow(clock.Boot(), q)
 		if len(f.Pending) == 0 || ctx.Err() != nil || !time.Now().Before(end) {
 			return f
 		}
@@ -346,10 +347,14 @@
 	}
 }
 
-func (l *leader) forceNow(r id.Revision) Force {
+// forceNow returns the members that have not applied a revision. Where the request allows it, those are left out that will
+// have stopped serving inside the bound for changes: they have been silent for long enough.
+func (l *leader) forceNow(now time.Duration, q forceRequest) Force {
+	s := l.a.replica.Status()
 	members := l.a.feed.Members()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.reset(s.Since)
 	f := Force{Applied: map[id.VM]id.Revision{}}
 	for _, vm := range slices.Sorted(maps.Keys(members)) {
 		at := l.seen[vm].revision
@@ -357,7 +362,8 @@
 			at = l.a.Config().Revision
 		}
 		f.Applied[vm] = at
-		if at < r {
+		silent := q.Bounded && now >= max(l.since, l.lastHeard(now, members[vm]))+l.a.timing.silence()
+		if at < q.Revision && !silent {
 			f.Pending = append(f.Pending, vm)
 		}
 	}
--- a/internal/services/authority/leader_test.go
+++ b/internal/services/authority/leader_test.go
@@ -36,3 +36,16 @@
 	join(t, a, 2, "vm2", 8) // its next incarnation has a lease of its own
 	require.Empty(t, l.dead(at+4*time.Second))
 }
+
+// A VM that was removed while it was cut off joins again with the incarnation that it had.
+func TestRemovedVMJoinsAgain(t *testing.T) {
+	a, err := New(Options{VM: "vm1", Timing: Timing{Lease: 3 * time.Second}})
+	require.NoError(t, err)
+	l := a.leader
+	l.reset(time.Second)
+	at := time.Minute
+	join(t, a, 1, "vm2", 7)
+	require.Empty(t, l.dead(at))
+	require.Len(t, l.dead(at+4*time.Second), 1)
+	require.Empty(t, l.dead(at+5*time.Second), "it had no time to report since it joined again")
+}
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -118,6 +118,7 @@
 	Revision id.Revision   `cbor:"1,keyasint"`
 	Wait     time.Duration `cbor:"2,keyasint"`
 	Hops     int           `cbor:"3,keyasint,omitempty"`
+	Bounded  bool          `cbor:"4,keyasint,omitempty"` // VMs that stop serving inside the bound need not answer
 }
 
 // Force says which VMs have applied which revision.
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -45,7 +45,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
-	answer, err := a.passOn(ctx, reports{List: []Report{r}})
+	answer, err := a.sendReport(ctx, reports{List: []Report{r}})
 	if err != nil {
 		klog.V(1).InfoS("Report failed", "vm", a.opt.VM, "err", err)
 		return
@@ -57,6 +57,33 @@
 	}
 }
 
+// sendReport passes q on through the relay, or through another control VM where the relay does not answer.
+func (a *Authority) sendReport(ctx context.Context, q reports) (grants, error) {
+	first, cancel := context.WithTimeout(ctx, a.timing.call()/reportTries)
+	answer, err := a.passOn(first, q)
+	cancel()
+	if err == nil || a.replica != nil {
+		return answer, err
+	}
+	q.Hops++
+	relay, _ := a.upstream()
+	for _, to := range a.candidates() {
+		if to == relay || ctx.Err() != nil {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, a.timing.call()/reportTries)
+		answer, err = peer.Call[grants](call, a.opt.Transport, to, methodReport, q)
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	return answer, err
+}
+
+// reportTries is how many control VMs a report may be tried at in the time of one call.
+const reportTries = 2
+
 // accept takes a grant. It counts only once this VM has applied the revision that the leader stood at.
 func (a *Authority) accept(ctx context.Context, g Grant) {
 	a.onCounted(g.Counted)
--- a/internal/services/authority/timing.go
+++ b/internal/services/authority/timing.go
@@ -12,6 +12,7 @@
 type Timing struct {
 	Lease    time.Duration // how long a VM may serve keyed calls after a report
 	Election time.Duration // least silence of a leader before another is elected
+	Apply    time.Duration // within which a confirmed change is in force on every VM that serves; zero means Lease
 	Spare    time.Duration // absence after which a voter gives way to a learner that has caught up
 }
 
@@ -29,6 +30,7 @@
 func (t Timing) filled() Timing {
 	return Timing{
 		Lease:    cmp.Or(t.Lease, DefaultTiming.Lease),
+		Apply:    cmp.Or(t.Apply, t.Lease, DefaultTiming.Lease),
 		Election: cmp.Or(t.Election, DefaultTiming.Election),
 		Spare:    cmp.Or(t.Spare, DefaultTiming.Spare),
 	}
@@ -72,5 +74,13 @@
 	return time.Unix(0, a.wall.offset.Load()+int64(now))
 }
 
+// applyMargin is the part of Apply that covers requests on their way and the drift of clocks.
+const applyMargin = 0.1
+
+// silence returns how long a VM must have been silent so that its lease ends within Apply from now on.
+func (t Timing) silence() time.Duration {
+	return max(0, t.Lease-t.Apply+time.Duration(applyMargin*float64(t.Apply)))
+}
+
 // ended returns when the lease of a VM that was last heard at at has surely ended.
 func (t Timing) ended(at time.Duration) time.Duration { return lease.EndedAt(at, t.Lease) }
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -109,7 +109,7 @@
 	}
 	leased := f.Guard.Leased(clock.Boot(), 0)
 	r, ok := c.config.Find(c.Host, c.Path)
-	if !ok && !leased {
+	if !leased {
 		return unsure()
 	}
 	if !ok {
@@ -120,12 +120,6 @@
 	if c.Secret == "" && r.Open {
 		return nil
 	}
-	if !leased {
-		if r.Open {
-			return nil
-		}
-		return unsure()
-	}
 	return f.authenticate(c)
 }
 
@@ -140,7 +134,7 @@
 // allowed reports whether what was decided for c still holds, right before it is sent: the VM may have stood still
 // meanwhile.
 func (f *Forwarder) allowed(c *Call) bool {
-	if c.customer.ID != "" && !f.Guard.Leased(clock.Boot(), 0) {
+	if !f.Guard.Leased(clock.Boot(), 0) {
 		return false
 	}
 	cfg := f.Config()
