--- a/internal/routers/vm/roles.go
+++ b/internal/routers/vm/roles.go
@@ -70,9 +70,14 @@
 		Read: t.Read[s.ID], Last: p.last[s.ID], Dwell: v.authority.Config().Seconds(policy.Dwell, "", s.ID),
 		Speed: roster.FirstApart * 1000,
 	}
+	last := v.authority.State().Latest()
 	for _, u := range v.roster.Snapshot().Services[s.ID] {
+		now := roleOf(u)
+		if o := last[u.Name]; o.Changes(u.Incarnation, string(u.Role)) {
+			now = engine.Role(o.Value) // it counts as what it is about to be
+		}
 		out.Engines = append(out.Engines, role.Engine{
-			Name: u.Name, Zone: u.Zone, Role: roleOf(u), Cheap: u.Cheap, Running: running[u.Name], Changed: p.changed[u.Name],
+			Name: u.Name, Zone: u.Zone, Role: now, Cheap: u.Cheap, Running: running[u.Name], Changed: p.changed[u.Name],
 		})
 	}
 	return out
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -406,6 +406,7 @@
 func (f *Forwarder) firstEvent(c *Call, h *chosen, at time.Time) {
 	h.readOff()
 	f.began(c)
+	c.first = time.Since(c.Start)
 	took := time.Since(at)
 	if h.unread >= leastRead && h.ahead < h.unread {
 		h.u.Work.Read(false, h.unread+h.ahead, took)
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -49,6 +49,7 @@
 	deadline time.Time
 	sent     bool // some upstream may have begun
 	counted  bool
+	first    time.Duration // from Start to the first event
 	events   int
 	last     string // id of the last event passed on
 	trail    []call.Attempt
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -205,7 +205,7 @@
 		outcome = err.Error()
 	}
 	klog.InfoS("Request", "request", c.ID, "customer", c.customer.ID, "service", c.service.ID, "route", c.routeName(),
-		"version", c.configVersion(), "took", now.Sub(c.Start).Round(time.Millisecond), "events", c.events, "attempts", c.trail, "outcome", outcome)
+		"version", c.configVersion(), "first", c.first.Round(time.Millisecond), "took", now.Sub(c.Start).Round(time.Millisecond), "events", c.events, "attempts", c.trail, "outcome", outcome)
 }
 
 func (c *Call) routeName() string {
--- a/internal/services/place/place.go
+++ b/internal/services/place/place.go
@@ -35,7 +35,7 @@
 	// apartWeight and inPlaceWeight are how much a millisecond of reading, which all requests of an engine pay, counts
 	// against one of waiting, which only this one pays. Reading in place also holds up the answers that the engine generates.
 	apartWeight   = 1.0
-	inPlaceWeight = 3.0
+	inPlaceWeight = 6.0
 	// handOn is the time in which a read prompt moves to the engine that generates.
 	handOn     = 15 * time.Millisecond
 	faultDelay = 400 * time.Millisecond // an engine that fails every answer is avoided up to this wait
