--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -113,6 +113,7 @@
 	go p.tally.Run(ctx)
 	if v.authority.Control() {
 		go v.planRoles(ctx)
+		go v.planScale(ctx)
 	}
 	pause.Each(ctx, tidyEvery, func() {
 		wanted := map[string]bool{}
--- a/internal/services/order/order.go
+++ b/internal/services/order/order.go
@@ -62,8 +62,21 @@
 type Platform interface {
 	// Report sends the figure of a window; check is asked right before the write.
 	Report(ctx context.Context, holder id.VM, f id.Fence, r usage.Report, check func() bool) error
+	// Scale asks for a number of upstreams. ErrDry says that none are to be had now.
+	Scale(ctx context.Context, holder id.VM, f id.Fence, n Number, check func() bool) error
 }
 
+// Number is how many upstreams of one kind a service is to have in a data centre.
+type Number struct {
+	Service id.Service
+	Zone    id.Zone
+	Cheap   bool
+	Count   int
+}
+
+// ErrDry says that no upstream of the kind is to be had in the data centre now.
+const ErrDry = errors.ConstError("no such upstream is to be had now")
+
 // Engines takes orders to engines. Errors name what is known: errNotSent and errRefused as the sender's, ErrFenced.
 type Engines interface {
 	// Send writes o to an engine; check is asked right before the write.
--- a/internal/services/order/send.go
+++ b/internal/services/order/send.go
@@ -137,6 +137,11 @@
 	return w.sender.post(ctx, w.url+"/v1/usage", f, report{Window: r.Window, Fence: f, Lines: r.Lines}, check)
 }
 
+// Scale implements Platform. This project's own protocol orders no upstreams.
+func (w *web) Scale(context.Context, id.VM, id.Fence, Number, func() bool) error {
+	return errors.NotSupportedf("ordering upstreams")
+}
+
 // Send implements Engines.
 func (w *web) Send(ctx context.Context, _ id.VM, to engine.Announcement, o order.Order, check func() bool) error {
 	return w.sender.order(ctx, to.Address, o, check)
--- a/internal/services/order/usage.go
+++ b/internal/services/order/usage.go
@@ -47,12 +47,7 @@
 		if w.Acknowledged {
 			continue
 		}
-		check := func() bool {
-			now := clock.Boot()
-			held, ok := s.Held(now, lease.Platform)
-			return ok && held.Fence == h.Fence && held.Until > now+reportMargin
-		}
-		err := s.opt.Port.Report(ctx, s.opt.Authority.VM(), h.Fence, w, check)
+		err := s.opt.Port.Report(ctx, s.opt.Authority.VM(), h.Fence, w, s.mayCall(h))
 		if errors.Is(err, ErrFenced) {
 			s.drop(ctx, h)
 			return
@@ -68,5 +63,33 @@
 	}
 }
 
+// mayCall returns the check of a call to the platform under h.
+func (s *Service) mayCall(h Hold) func() bool {
+	return func() bool {
+		now := clock.Boot()
+		held, ok := s.Held(now, lease.Platform)
+		return ok && held.Fence == h.Fence && held.Until > now+reportMargin
+	}
+}
+
+// Platform reports whether this VM may call the platform at now.
+func (s *Service) Platform(now time.Duration) bool {
+	h, ok := s.Held(now, lease.Platform)
+	return ok && s.opt.Port != nil && h.Until > now+reportMargin
+}
+
+// Scale asks the platform for a number of upstreams.
+func (s *Service) Scale(ctx context.Context, n Number) error {
+	h, ok := s.Held(clock.Boot(), lease.Platform)
+	if !ok || s.opt.Port == nil {
+		return ErrNotHeld
+	}
+	err := s.opt.Port.Scale(ctx, s.opt.Authority.VM(), h.Fence, n, s.mayCall(h))
+	if errors.Is(err, ErrFenced) {
+		s.drop(ctx, h)
+	}
+	return err
+}
+
 // reportMargin is how much of the lease must be left when a report is written: the kernel delivers nothing later.
 const reportMargin = lingerBound
--- a/internal/services/role/role.go
+++ b/internal/services/role/role.go
@@ -33,7 +33,7 @@
 const (
 	// fullRun is how many requests an engine that generates runs at once before the gaps between events and its memory
 	// suffer: half of the slots of a batch.
-	fullRun = 32.0
+	fullRun = 24.0
 	// leastGain is the part of the greater pressure that a change must take away. It covers what the change costs: the
 	// engine does nothing for seconds.
 	leastGain = 0.12
@@ -64,7 +64,7 @@
 // Plan returns the next change of a role at now. It answers a mix that shifts between long prompts and long answers:
 // one engine goes over to the kind of work that is pressed more, where that lowers the greater pressure by enough.
 func Plan(now time.Duration, v *View) (Change, bool) {
-	if v.Last > 0 && now-v.Last < between || v.Speed <= 0 || v.Read <= 0 {
+	if v.Last > 0 && now-v.Last < between || v.Speed <= 0 {
 		return Change{}, false
 	}
 	var read, generate []Engine
@@ -78,6 +78,9 @@
 		running += float64(e.Running)
 	}
 	n, m := len(read), len(generate)
+	if v.Read <= 0 {
+		return v.rest(now, read, generate)
+	}
 	before := v.pressure(n, m, running)
 	if before < leastPressure {
 		return Change{}, false
@@ -97,6 +100,19 @@
 	return Change{Engine: e.Name, Role: to, Before: before, After: after}, true
 }
 
+// restPart is the part of the engines that read while the mix is not known.
+const restPart = 0.4
+
+// rest returns the next change towards restPart.
+func (v *View) rest(now time.Duration, read, generate []Engine) (Change, bool) {
+	want := int(restPart * float64(len(v.Engines)))
+	if len(read) >= max(leastKind, want) || len(generate) <= leastKind {
+		return Change{}, false
+	}
+	e, ok := v.pick(now, generate)
+	return Change{Engine: e.Name, Role: engine.Prefill}, ok
+}
+
 // pick returns the engine that gives its kind of work up: of the data centre that has most of the kind, the least busy.
 func (v *View) pick(now time.Duration, list []Engine) (Engine, bool) {
 	zones := map[id.Zone]int{}
