--- a/internal/services/order/order_test.go
+++ b/internal/services/order/order_test.go
@@ -238,7 +238,7 @@
 			s.log.propose(state.Command{Release: &state.Release{Name: l.Name, Fence: l.Fence}})
 		}
 		x := s.list[i]
-		x.opt.Platform = srv.URL
+		x.opt.Port = &web{sender: x.sender, url: srv.URL}
 		h, ok := x.keep(context.Background(), lease.Platform)
 		require.True(t, ok)
 		total += 10
