--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -179,6 +179,7 @@
 			klog.InfoS("Feed attached", "peer", to)
 			a.uplink.Store(&to)
 			worked = true
+			a.ReportSoon()
 		}
 		if best := a.candidates(); len(best) > 0 && best[0] != to && a.reachable(ctx, best[0]) {
 			return worked
--- a/internal/services/role/role.go
+++ b/internal/services/role/role.go
@@ -93,15 +93,23 @@
 	if after > before*(1-leastGain) {
 		return Change{}, false
 	}
-	e, ok := v.pick(now, from)
+	e, ok := v.pick(now, from, to)
 	if !ok {
 		return Change{}, false
 	}
 	return Change{Engine: e.Name, Role: to, Before: before, After: after}, true
 }
 
+// wanted orders engines by whether role suits them.
+func wanted(e Engine, role engine.Role) int {
+	if e.Cheap == (role == engine.Prefill) {
+		return 1
+	}
+	return 0
+}
+
 // restPart is the part of the engines that read while the mix is not known.
-const restPart = 0.4
+const restPart = 0.5
 
 // rest returns the next change towards restPart.
 func (v *View) rest(now time.Duration, read, generate []Engine) (Change, bool) {
@@ -109,12 +117,13 @@
 	if len(read) >= max(leastKind, want) || len(generate) <= leastKind {
 		return Change{}, false
 	}
-	e, ok := v.pick(now, generate)
+	e, ok := v.pick(now, generate, engine.Prefill)
 	return Change{Engine: e.Name, Role: engine.Prefill}, ok
 }
 
-// pick returns the engine that gives its kind of work up: of the data centre that has most of the kind, the least busy.
-func (v *View) pick(now time.Duration, list []Engine) (Engine, bool) {
+// pick returns the engine that goes over to role: where it is to read, one that is not cheap, because a reclaim takes what
+// it keeps of prompts; then of the data centre that has most of the kind, the least busy.
+func (v *View) pick(now time.Duration, list []Engine, role engine.Role) (Engine, bool) {
 	zones := map[id.Zone]int{}
 	var free []Engine
 	for _, e := range list {
@@ -127,6 +136,6 @@
 		return Engine{}, false
 	}
 	return slices.MinFunc(free, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(zones[b.Zone], zones[a.Zone]), cmp.Compare(a.Running, b.Running), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(wanted(a, role)-wanted(b, role), cmp.Compare(zones[b.Zone], zones[a.Zone]), cmp.Compare(a.Running, b.Running), cmp.Compare(a.Name, b.Name))
 	}), true
 }
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -141,6 +141,7 @@
 // refresh renews this VM's word with the relay.
 func (g *Gossip) refresh(ctx context.Context) {
 	if g.Wide {
+		g.askUntilKnown(ctx)
 		pause.Each(ctx, vouchEvery, func() { g.askAll(ctx) })
 		return
 	}
@@ -152,6 +153,16 @@
 	})
 }
 
+// firstEvery is how often a VM that has just started asks for the lists: it cannot serve before.
+const firstEvery = 50 * time.Millisecond
+
+// askUntilKnown asks until some list has arrived.
+func (g *Gossip) askUntilKnown(ctx context.Context) {
+	for len(g.Roster.Snapshot().All) == 0 && pause.For(ctx, firstEvery) {
+		g.askAll(ctx)
+	}
+}
+
 // askAll asks every control VM for its list, where this VM lacks it.
 func (g *Gossip) askAll(ctx context.Context) {
 	for vm, m := range g.Members() {
--- a/internal/services/scale/scale.go
+++ b/internal/services/scale/scale.go
@@ -29,6 +29,7 @@
 	Need    float64 // upstreams that the work needs; zero while it is not known
 	Base    int     // upstreams that ran when the service was first looked at
 	Reserve float64 // part of the need that ordinary upstreams cover, for reclaims
+	Firm    float64 // part of the need that ordinary upstreams should cover: what a reclaim takes is long in coming back
 }
 
 // Want is how many upstreams a data centre is to have.
@@ -91,7 +92,17 @@
 	if !v.pays() {
 		return need
 	}
-	return max(int(math.Ceil(v.Reserve*float64(need))), v.Least*len(v.Zones))
+	return max(int(math.Ceil(v.Reserve*float64(need))), int(math.Ceil(v.firm())), v.Least*len(v.Zones))
+}
+
+// firmPart is Firm as a part of Base while the work is not known.
+const firmPart = 0.5
+
+func (v *View) firm() float64 {
+	if v.Need <= 0 {
+		return firmPart * float64(v.Base)
+	}
+	return min(v.Firm, v.Need)
 }
 
 // spread returns the part of n that the i-th of count gets; the first ones get the rest.
