--- a/internal/services/limit/tolerance.go
+++ b/internal/services/limit/tolerance.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// tolerancePart is how much of a tolerance is handed out; the rest covers requests that are counted in another window at
-// the upstream than here.
-const tolerancePart = 0.7
+// The parts of what a customer may use in a span that its bucket is given: as a rate, and at once. The rest covers requests
+// that count in another span at the upstream than here.
+const (
+	ratePart  = 0.72
+	burstPart = 0.2
+)
 
 // Tolerance is how far a customer may get beyond its rate and burst in any Span. The zero value allows nothing.
 type Tolerance struct {
@@ -13,9 +16,13 @@
 	Span  time.Duration // zero counts the burst alone
 }
 
-// Apply returns limit with the tolerance in its burst.
+// Apply returns the bucket that uses the tolerance: over any Span it admits at most what limit and the tolerance allow.
 func (t Tolerance) Apply(limit Part) Part {
-	allowed := limit.Rate*t.Span.Seconds() + limit.Burst
-	limit.Burst += tolerancePart * (t.Over*allowed + t.Slack)
-	return limit
+	span := t.Span.Seconds()
+	if span <= 0 {
+		limit.Burst += t.Slack
+		return limit
+	}
+	allowed := (1+t.Over)*(limit.Rate*span+limit.Burst) + t.Slack
+	return Part{Rate: max(limit.Rate, ratePart*allowed/span), Burst: burstPart * allowed}
 }
