--- a/internal/routers/vm/scale.go
+++ b/internal/routers/vm/scale.go
@@ -188,7 +188,6 @@
 		out.Zones = append(out.Zones, *z)
 	}
 	out.Need = s.greatest(now, svc.ID, v.needOf(svc, t))
-	out.Firm = firmOf(svc, t)
 	return out
 }
 
@@ -216,12 +215,7 @@
 	if read <= 0 {
 		return 0
 	}
-	return firmOf(svc, t) + running/runAtOnce
-}
-
-// firmOf returns how many engines the reading of prompts needs.
-func firmOf(svc service.Service, t tally.Totals) float64 {
-	return t.Read[svc.ID] / (readPart * roster.FirstApart * 1000)
+	return read/(readPart*roster.FirstApart*1000) + running/runAtOnce
 }
 
 // greatest notes a need and returns the greatest of the last needMemory.
--- a/internal/services/scale/scale.go
+++ b/internal/services/scale/scale.go
@@ -29,7 +29,6 @@
 	Need    float64 // upstreams that the work needs; zero while it is not known
 	Base    int     // upstreams that ran when the service was first looked at
 	Reserve float64 // part of the need that ordinary upstreams cover, for reclaims
-	Firm    float64 // part of the need that ordinary upstreams should cover: what a reclaim takes is long in coming back
 }
 
 // Want is how many upstreams a data centre is to have.
@@ -43,7 +42,11 @@
 	// worthwhile is the price from which on cheap upstreams do not pay: they come and go.
 	worthwhile = 0.7
 	// unknownNeed is what a service is given while its work is not known, as a multiple of what ran first.
-	unknownNeed = 1.34
+	unknownNeed = 2.0
+	// firmPart is the part of what ran first that stays ordinary while the work is not known.
+	firmPart = 0.5
+	// ample is how much more than the need runs where that is cheap: queues are short, and the loss of some is borne.
+	ample = 1.5
 )
 
 // Plan returns what each data centre is to have at now. It answers a load that grows beyond what runs, and cheap
@@ -76,7 +79,7 @@
 	}
 	n := v.Need
 	if v.pays() && len(v.Zones) > 1 {
-		n *= float64(len(v.Zones)) / (float64(len(v.Zones)) - lossPart)
+		n *= ample * float64(len(v.Zones)) / (float64(len(v.Zones)) - lossPart)
 	}
 	return int(math.Ceil(n))
 }
@@ -92,17 +95,11 @@
 	if !v.pays() {
 		return need
 	}
-	return max(int(math.Ceil(v.Reserve*float64(need))), int(math.Ceil(v.firm())), v.Least*len(v.Zones))
-}
-
-// firmPart is Firm as a part of Base while the work is not known.
-const firmPart = 0.5
-
-func (v *View) firm() float64 {
+	n := max(int(math.Ceil(v.Reserve*float64(need))), v.Least*len(v.Zones))
 	if v.Need <= 0 {
-		return firmPart * float64(v.Base)
+		n = max(n, int(math.Ceil(firmPart*float64(v.Base))))
 	}
-	return min(v.Firm, v.Need)
+	return n
 }
 
 // spread returns the part of n that the i-th of count gets; the first ones get the rest.
