A report that arrives before its relay runs is answered

Ruled out: memory and disk (the panic is in the log). With it: weights of bytes between data centres (own centre first), and roles ordered without pause while nothing is known.

--- a/internal/routers/vm/scale.go
+++ b/internal/routers/vm/scale.go
@@ -21,15 +21,15 @@
 
 const (
 	scaleEvery  = 500 * time.Millisecond
-	needMemory  = 10 * time.Second // the need is the greatest of this time: upstreams take seconds to come
-	dryFor      = 3 * time.Second  // before upstreams that were not to be had are asked for again
-	resendAfter = 3 * time.Second  // beyond an upstream's start, where fewer run than were ordered
-	settle      = 3 * time.Second  // after the first upstream was seen, by when the others have announced themselves
-	lowerCheap  = 15 * time.Second // a smaller number of cheap upstreams must be wanted for so long
-	lowerOthers = 2 * time.Second  // and of ordinary ones, which are held anyway until cheap ones work
-	readPart    = 0.4              // of its speed at which an engine that reads is to be used
-	runAtOnce   = 10.0             // requests that an engine that generates is to run at once
-	slotPart    = 0.5              // of its slots that a plain upstream is to use
+	needMemory  = 10 * time.Second        // the need is the greatest of this time: upstreams take seconds to come
+	dryFor      = 3 * time.Second         // before upstreams that were not to be had are asked for again
+	resendAfter = 3 * time.Second         // beyond an upstream's start, where fewer run than were ordered
+	settle      = 2500 * time.Millisecond // after the first upstream was seen, by when the others have announced themselves
+	lowerCheap  = 15 * time.Second        // a smaller number of cheap upstreams must be wanted for so long
+	lowerOthers = 2 * time.Second         // and of ordinary ones, which are held anyway until cheap ones work
+	readPart    = 0.4                     // of its speed at which an engine that reads is to be used
+	runAtOnce   = 10.0                    // requests that an engine that generates is to run at once
+	slotPart    = 0.5                     // of its slots that a plain upstream is to use
 )
 
 // ordered is what this VM asked for last.
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -78,7 +78,8 @@
 	uplink    atomic.Pointer[string]
 	leader    *leader
 	relay     relay
-	ctx       context.Context
+	ctx       context.Context // ends with Run; calls of other VMs may come before it
+	cancel    context.CancelFunc
 	stopped   chan struct{}
 }
 
@@ -91,6 +92,7 @@
 		onShares: func([]Share) {}, onCounted: func([]usage.Reading) {},
 		timing: opt.Timing.filled(),
 	}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.seeds.Store(opt.Seeds)
 	a.wall.start(time.Now(), clock.Boot())
 	a.leader = newLeader(a)
@@ -192,7 +194,7 @@
 
 // Run follows the log, reports and does duties until ctx ends.
 func (a *Authority) Run(ctx context.Context) error {
-	a.ctx = ctx
+	defer a.cancel()
 	var wg sync.WaitGroup
 	run := func(f func(context.Context)) {
 		wg.Add(1)
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -99,8 +99,8 @@
 
 // The load, in slots, that moving a request or a read prompt to another data centre is worth avoiding.
 const (
-	farGenerate = 0.08
-	farMove     = 0.12
+	farGenerate = 0.25
+	farMove     = 0.15
 )
 
 // chooseNext picks the engine that generates from a prompt that was read at from.
--- a/internal/services/place/place.go
+++ b/internal/services/place/place.go
@@ -33,7 +33,7 @@
 const (
 	firstToken = 15 * time.Millisecond // beyond reading: one step of a batch and the way
 	// farByte is the delay of a first token that moving a byte of the request between data centres is worth.
-	farByte = 4 * time.Microsecond
+	farByte = 10 * time.Microsecond
 	// apartWeight and inPlaceWeight are how much a millisecond of reading, which all requests of an engine pay, counts
 	// against one of waiting, which only this one pays. Reading in place also holds up the answers that the engine generates.
 	apartWeight   = 1.0
--- a/internal/services/role/role.go
+++ b/internal/services/role/role.go
@@ -64,7 +64,7 @@
 // Plan returns the next change of a role at now. It answers a mix that shifts between long prompts and long answers:
 // one engine goes over to the kind of work that is pressed more, where that lowers the greater pressure by enough.
 func Plan(now time.Duration, v *View) (Change, bool) {
-	if v.Last > 0 && now-v.Last < between || v.Speed <= 0 {
+	if v.Speed <= 0 {
 		return Change{}, false
 	}
 	var read, generate []Engine
@@ -81,6 +81,9 @@
 	if v.Read <= 0 {
 		return v.rest(now, read, generate)
 	}
+	if v.Last > 0 && now-v.Last < between {
+		return Change{}, false
+	}
 	before := v.pressure(n, m, running)
 	if before < leastPressure {
 		return Change{}, false
