--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -71,6 +71,7 @@
 	onCounted func([]usage.Reading)
 	seeds     rcu.Value[[]string]
 	report    chan struct{}
+	told      time.Duration // when usage was reported last; used by the report loop alone
 
 	addresses sync.Map // quorum.Node to string
 	kept      rcu.Value[map[id.VM]string]
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -41,7 +41,11 @@
 	now := clock.Boot()
 	r := Report{
 		VM: a.opt.VM, Incarnation: a.opt.Incarnation, Sent: now, Revision: a.Config().Revision,
-		Demands: a.demand(now), Usage: a.readings(), Wall: now + a.wall.own,
+		Demands: a.demand(now), Wall: now + a.wall.own,
+	}
+	if now-a.told >= usageEvery {
+		a.told = now
+		r.Usage = a.readings()
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -238,9 +238,14 @@
 func (m *memories) keep(u *roster.Upstream, c *Call, part float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.of(u.Name, u.Incarnation).Keep(c.Parts, id.Tokens(part*float64(c.service.Engine.Memory)))
+	e := m.of(u.Name, u.Incarnation)
 	shared := c.Parts[:max(1, len(c.Parts)-1)]
+	known := e.Cached(shared)
+	e.Keep(c.Parts, id.Tokens(part*float64(c.service.Engine.Memory)))
 	for _, p := range shared {
+		if known -= p.Tokens; known >= 0 {
+			continue // the others know of it
+		}
 		m.placed = append(m.placed, tally.Placed{Upstream: u.Name, Chain: p.Chain, Tokens: p.Tokens})
 	}
 }
