--- /dev/null
+++ b/internal/models/state/document_test.go
@@ -0,0 +1,133 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/models/document"
+	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/route"
+	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/modules/id"
+)
+
+const documentService = "s"
+
+func wholeDocument(v document.Version, change func(*document.Document)) *document.Document {
+	d := &document.Document{
+		Version:  v,
+		Source:   []byte{byte(v)},
+		Services: []service.Service{{ID: documentService, Kind: service.Plain}},
+		Routes: []route.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: route.Safe, Timeout: time.Second, Parts: []route.Part{{Service: documentService, Weight: 1}},
+		}},
+		Customers: []document.Customer{{ID: "c", Hashes: []string{key.Hash("secret")}, Rate: 100, Burst: 200}},
+	}
+	if change != nil {
+		change(d)
+	}
+	return d
+}
+
+// replay applies documents in order and returns the machine.
+func replay(t *testing.T, list ...*document.Document) *Machine {
+	m := New()
+	for i, d := range list {
+		applyDocument(t, m, id.Index(i+1), d)
+	}
+	return m
+}
+
+func applyDocument(t *testing.T, m *Machine, i id.Index, d *document.Document) Result {
+	t.Helper()
+	data, err := Command{Change: &Change{Any: true, Request: id.Request(d.Source), Replace: d}}.Encode()
+	require.NoError(t, err)
+	r := m.Apply(i, data)
+	m.Publish()
+	return r
+}
+
+func TestHighestDocumentWins(t *testing.T) {
+	m := replay(t, wholeDocument(7, nil), wholeDocument(3, nil))
+	require.EqualValues(t, 7, m.Config().Version)
+	require.Equal(t, []byte{7}, m.Config().Source)
+	require.EqualValues(t, 1, m.Config().Revision, "an overtaken document changes nothing")
+
+	other := wholeDocument(7, func(d *document.Document) { d.Source = []byte("other"); d.Customers = nil })
+	require.Equal(t, OK, applyDocument(t, m, 3, other).Code)
+	require.Equal(t, []byte{7}, m.Config().Source, "other content under the version held is not in force")
+	require.Len(t, m.Config().Customers, 1)
+}
+
+func TestDocumentReplacesCallersAndKeepsOperators(t *testing.T) {
+	m := New()
+	for i, ch := range []Change{
+		{Customer: &customer.Customer{ID: "old"}},
+		{Key: &key.Key{ID: "admin", Role: key.Admin, Hash: key.Hash("a")}},
+		{Key: &key.Key{ID: "was", Role: key.Caller, Customer: "old", Hash: key.Hash("b")}},
+		{Defaults: policy.Defaults{policy.Late: 3}},
+		{Exception: &policy.Exception{ID: "kept", Customer: "old", Field: policy.Late, Value: 4, Reason: "agreed"}},
+	} {
+		ch.Any, ch.Request = true, id.Request(rune('a'+i))
+		data, err := Command{Change: &ch}.Encode()
+		require.NoError(t, err)
+		require.Equal(t, OK, m.Apply(id.Index(i+1), data).Code)
+	}
+	require.Equal(t, OK, applyDocument(t, m, 10, wholeDocument(1, nil)).Code)
+	cfg := m.Config()
+	require.NotContains(t, cfg.Customers, id.Customer("old"))
+	require.Contains(t, cfg.Keys, id.Key("admin"))
+	require.NotContains(t, cfg.Keys, id.Key("was"))
+	require.Contains(t, cfg.Exceptions, "kept")
+	require.EqualValues(t, 3, cfg.Resolve(policy.Late, "c", "").Value)
+	rate := cfg.Resolve(policy.Rate, "c", "")
+	require.EqualValues(t, 100, rate.Value)
+	require.Equal(t, "document 1", rate.Reason)
+	k, ok := cfg.KeyOf(key.Hash("secret"))
+	require.True(t, ok)
+	require.EqualValues(t, "c", k.Customer)
+	_, ok = cfg.KeyOf(key.Hash("b"))
+	require.False(t, ok)
+}
+
+func TestInvalidDocumentsChangeNothing(t *testing.T) {
+	for name, change := range map[string]func(*document.Document){
+		"unknown service": func(d *document.Document) { d.Routes[0].Parts[0].Service = "none" },
+		"same place":      func(d *document.Document) { d.Routes = append(d.Routes, d.Routes[0]) },
+		"no weight":       func(d *document.Document) { d.Routes[0].Parts[0].Weight = 0 },
+		"no timeout":      func(d *document.Document) { d.Routes[0].Timeout = 0 },
+		"shared key": func(d *document.Document) {
+			d.Customers = append(d.Customers, document.Customer{ID: "e", Hashes: d.Customers[0].Hashes})
+		},
+		"customer twice": func(d *document.Document) { d.Customers = append(d.Customers, d.Customers[0]) },
+		"service twice":  func(d *document.Document) { d.Services = append(d.Services, d.Services[0]) },
+		"nameless":       func(d *document.Document) { d.Customers[0].ID = "" },
+		"negative rate":  func(d *document.Document) { d.Customers[0].Rate = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := replay(t, wholeDocument(1, nil))
+			r := applyDocument(t, m, 2, wholeDocument(2, change))
+			require.NotEqual(t, OK, r.Code)
+			require.EqualValues(t, 1, m.Config().Version)
+			require.Len(t, m.Config().Routes, 1)
+		})
+	}
+}
+
+func TestDocumentOutlivesSnapshots(t *testing.T) {
+	m := replay(t, wholeDocument(5, nil))
+	data, err := m.FollowerSnapshot()
+	require.NoError(t, err)
+	n := New()
+	require.NoError(t, n.Restore(data))
+	n.Publish()
+	require.EqualValues(t, 5, n.Config().Version)
+	_, ok := n.Config().Find("h", "/x")
+	require.True(t, ok)
+	_, ok = n.Config().KeyOf(key.Hash("secret"))
+	require.True(t, ok)
+}
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -222,7 +222,7 @@
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		v, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
 		if n, err := strconv.Atoi(v); ok && err == nil {
-			return min(poolIdle, time.Duration(n)*time.Second-idleMargin)
+			return max(1, min(poolIdle, time.Duration(n)*time.Second-idleMargin))
 		}
 	}
 	return poolIdle
@@ -278,7 +278,7 @@
 		return nil, err
 	}
 	p.Opened.Add(1)
-	return &link{pool: p, address: address, conn: c, r: bufio.NewReaderSize(c, readerBytes)}, nil
+	return &link{pool: p, address: address, conn: c, life: poolIdle, r: bufio.NewReaderSize(c, readerBytes)}, nil
 }
 
 // put keeps l for the next request.
@@ -332,7 +332,7 @@
 // fresh reports whether an idle connection can carry a request: its time is not over, and neither bytes nor an end have
 // arrived on it.
 func (l *link) fresh(now time.Time) bool {
-	if l.life > 0 && now.Sub(l.used) >= l.life || l.r.Buffered() > 0 {
+	if now.Sub(l.used) >= l.life || l.r.Buffered() > 0 {
 		return false
 	}
 	sc, ok := l.conn.(syscall.Conn)
--- /dev/null
+++ b/internal/services/scale/scale_test.go
@@ -0,0 +1,106 @@
+package scale
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtaillift/internal/modules/fixed"
+	"wagtaillift/internal/modules/id"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m, 300) }
+
+func zones(ordinary, cheap int) []Zone {
+	var list []Zone
+	for i, price := range []float64{1, 0.8, 1.25} {
+		list = append(list, Zone{Name: id.Zone(fmt.Sprint("z", i)), Price: price, Ordinary: ordinary, Cheap: cheap})
+	}
+	return list
+}
+
+func sum(list []Want) (ordinary, cheap int) {
+	for _, w := range list {
+		ordinary += w.Ordinary
+		cheap += w.Cheap
+	}
+	return ordinary, cheap
+}
+
+func TestPlan(t *testing.T) {
+	base := View{Zones: zones(3, 0), Least: 1, Most: 6, Cheap: 0.2, Base: 9, Reserve: 0.1}
+	t.Run("unknown work: twice what runs, most of it cheap", func(t *testing.T) {
+		ordinary, cheap := sum(Plan(0, &base))
+		require.Equal(t, 5, ordinary)
+		require.Equal(t, 13, cheap)
+	})
+	t.Run("ordinary ones stay while the cheap ones that replace them do not work", func(t *testing.T) {
+		v := base
+		v.Need = 4
+		ordinary, cheap := sum(Plan(0, &v))
+		require.Equal(t, 8, ordinary)
+		require.Equal(t, 5, cheap)
+	})
+	t.Run("ordinary ones go once cheap ones work", func(t *testing.T) {
+		v := base
+		v.Zones, v.Need = zones(3, 5), 8
+		ordinary, cheap := sum(Plan(0, &v))
+		require.Equal(t, 3, ordinary)
+		require.GreaterOrEqual(t, cheap, 9)
+	})
+	t.Run("ordinary ones take the place of cheap ones that are not to be had", func(t *testing.T) {
+		v := base
+		v.Need, v.Zones = 8, zones(3, 0)
+		for i := range v.Zones {
+			v.Zones[i].Dry = time.Minute
+		}
+		ordinary, cheap := sum(Plan(time.Second, &v))
+		require.Zero(t, cheap)
+		require.GreaterOrEqual(t, ordinary, 8)
+	})
+	t.Run("no cheap ones at all", func(t *testing.T) {
+		v := base
+		v.Cheap, v.Need = 0, 7
+		ordinary, cheap := sum(Plan(0, &v))
+		require.Equal(t, 7, ordinary)
+		require.Zero(t, cheap)
+	})
+	t.Run("cheap data centres first", func(t *testing.T) {
+		v := base
+		v.Need = 4
+		for _, w := range Plan(0, &v) {
+			if w.Zone == "z2" { // the dearest
+				require.Equal(t, 1, w.Cheap)
+			}
+		}
+	})
+}
+
+func TestPlanStaysInsideBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := View{
+			Least: rapid.IntRange(0, 2).Draw(t, "least"), Most: rapid.IntRange(2, 8).Draw(t, "most"),
+			Cheap: rapid.SampledFrom([]float64{0, 0.2, 0.9}).Draw(t, "price"), Base: rapid.IntRange(1, 12).Draw(t, "base"),
+			Need: rapid.Float64Range(0, 40).Draw(t, "need"), Reserve: 0.1,
+		}
+		for i := range rapid.IntRange(1, 4).Draw(t, "zones") {
+			z := Zone{Name: id.Zone(fmt.Sprint("z", i)), Price: 1, Ordinary: rapid.IntRange(0, v.Most).Draw(t, "ordinary")}
+			z.Cheap = rapid.IntRange(0, v.Most-z.Ordinary).Draw(t, "cheap")
+			if rapid.Bool().Draw(t, "dry") {
+				z.Dry = time.Minute
+			}
+			v.Zones = append(v.Zones, z)
+		}
+		total := 0
+		for _, w := range Plan(time.Second, &v) {
+			require.GreaterOrEqual(t, w.Ordinary, v.Least)
+			require.GreaterOrEqual(t, w.Cheap, 0)
+			require.LessOrEqual(t, w.Ordinary+w.Cheap, v.Most)
+			total += w.Ordinary + w.Cheap
+		}
+		require.GreaterOrEqual(t, total, min(int(v.Need), v.Most*len(v.Zones)))
+	})
+}
