A request that was sent before is not refused as late

Cause: repeated and resumed model requests were to go on however late, by a factor so large that the time overflowed and every one was refused ('no upstream is left: no engine can answer in time' in the logs). Ruled out: the retry budget (it was spent).

--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -174,10 +174,7 @@
 	}
 	j := place.Job{
 		Tokens: c.Prompt, Bytes: len(c.Body), Objective: c.route.Objective, Waited: time.Since(c.Start),
-		Lenient: c.config.Resolve(policy.Late, c.customer.ID, c.service.ID).Value,
-	}
-	if again {
-		j.Lenient = math.MaxFloat32
+		Lenient: c.config.Resolve(policy.Late, c.customer.ID, c.service.ID).Value, Begun: again,
 	}
 	ch := place.Choose(views, &j)
 	if !again {
--- a/internal/services/place/place.go
+++ b/internal/services/place/place.go
@@ -28,6 +28,7 @@
 	Objective time.Duration
 	Waited    time.Duration // since the caller's request arrived
 	Lenient   float64       // how late, in objectives, an answer is still worth its engine time
+	Begun     bool          // it was sent before: it goes on wherever it can, however late
 }
 
 const (
@@ -145,7 +146,7 @@
 	case v.Cached > 0:
 		out.Rule = Cached
 	}
-	if late(&out, v.reading(unread), j) {
+	if !j.Begun && late(&out, v.reading(unread), j) {
 		out.Index, out.Rule = -1, Late
 	}
 	return out
--- a/internal/services/place/place_test.go
+++ b/internal/services/place/place_test.go
@@ -13,7 +13,9 @@
 
 func TestMain(m *testing.M) { fixed.Main(m, 300) }
 
-func job() *Job { return &Job{Tokens: 17000, Bytes: 17000, Objective: 600 * time.Millisecond, Lenient: 2} }
+func job() *Job {
+	return &Job{Tokens: 17000, Bytes: 17000, Objective: 600 * time.Millisecond, Lenient: 2}
+}
 
 func view(change func(*View)) View {
 	v := View{Slots: 64, Speed: 50, Apart: true}
