--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -53,7 +53,7 @@
 		Retries: forward.Retries{Part: retryMargin * v.cfg.Route.Retries.Part, Burst: retryMargin * v.cfg.Route.Retries.Burst},
 	}
 	p.caller = &platform.Caller{Config: a.Config, Forwarder: p.forwarder, Stopping: &v.stopping, Record: countOutcome}
-	p.control = &platform.Control{Authority: a, Roster: v.roster, Ready: v.ready}
+	p.control = &platform.Control{Authority: a, Roster: v.roster, Ready: v.ready, Spread: v.gossip.Spread}
 	p.control.Register()
 	p.tally = &tally.Exchange{VM: a.VM(), Epoch: uint64(inc), Transport: v.transport, Members: a.State().Members}
 	if v.cfg.Listen.Caller != "" {
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -255,6 +255,39 @@
 	}
 }
 
+// Spread tells this VM's list to every VM and waits until all have it or wait is over. It returns false where no other
+// control VM has it: what this VM heard would be lost with it.
+func (g *Gossip) Spread(ctx context.Context, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	v := g.Roster.Vouch(true)
+	type reply struct {
+		control, ok bool
+	}
+	members := g.Members()
+	ch := make(chan reply, len(members))
+	n, others := 0, 0
+	for vm, m := range members {
+		if vm == g.VM {
+			continue
+		}
+		n++
+		if m.Control {
+			others++
+		}
+		go func() {
+			_, err := peer.Call[vouchAnswer](ctx, g.Transport, m.Peer, methodVouch, v)
+			ch <- reply{m.Control, err == nil}
+		}()
+	}
+	kept := others == 0
+	for range n {
+		r := <-ch
+		kept = kept || r.control && r.ok
+	}
+	return kept
+}
+
 func (g *Gossip) sendTo(ctx context.Context, to string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -243,6 +243,7 @@
 	peers   map[id.VM]*source
 	work    map[id.Upstream]*Work
 	gone    map[id.Upstream]gone
+	left    map[id.Upstream]gone // lives that were heard to leave, whoever said so; nil where a life may become ready again
 	current rcu.Value[*Snapshot]
 	changed func()
 }
@@ -256,7 +257,7 @@
 // NewWide returns an empty roster of upstreams of every data centre, which may be silent for silence.
 func NewWide(vm id.VM, epoch uint64, silence time.Duration, changed func()) *Roster {
 	r := New(vm, "", epoch, changed)
-	r.silence = silence
+	r.silence, r.left = silence, map[id.Upstream]gone{}
 	return r
 }
 
@@ -378,6 +379,11 @@
 			changed = true
 		}
 	}
+	for name, g := range r.left {
+		if now-g.at > leftMemory {
+			delete(r.left, name)
+		}
+	}
 	for name, g := range r.gone {
 		if now-g.at > crashMemory {
 			delete(r.gone, name)
@@ -477,7 +483,7 @@
 
 // rebuild publishes a new snapshot: for each upstream the announcement of its latest incarnation, where a leaving
 // state wins over a ready one. Where two upstreams name one address the later incarnation has it.
-func (r *Roster) rebuild(time.Duration) {
+func (r *Roster) rebuild(now time.Duration) {
 	best := map[id.Upstream]engine.Announcement{}
 	take := func(s *source) {
 		for name, h := range s.list {
@@ -493,6 +499,7 @@
 	for _, s := range r.peers {
 		take(s)
 	}
+	r.dropLeft(now, best)
 	r.dropReused(best)
 	n := &Snapshot{Models: map[id.Model][]*Upstream{}, Services: map[id.Service][]*Upstream{}}
 	for name, a := range best {
@@ -516,6 +523,23 @@
 	r.current.Store(n)
 }
 
+// dropLeft remembers the lives that leave, and takes out those that were heard to leave before: the VM that heard it may be
+// silent by now, while another still has an older word.
+func (r *Roster) dropLeft(now time.Duration, best map[id.Upstream]engine.Announcement) {
+	if r.left == nil {
+		return
+	}
+	for name, a := range best {
+		g, ok := r.left[name]
+		switch {
+		case a.State == engine.Leaving && (!ok || a.Incarnation > g.incarnation):
+			r.left[name] = gone{incarnation: a.Incarnation, at: now}
+		case a.State == engine.Ready && ok && a.Incarnation <= g.incarnation:
+			delete(best, name)
+		}
+	}
+}
+
 // dropReused takes out upstreams whose address a later one has.
 func (r *Roster) dropReused(best map[id.Upstream]engine.Announcement) {
 	holder := map[string]engine.Announcement{}
--- a/internal/services/roster/roster_test.go
+++ b/internal/services/roster/roster_test.go
@@ -167,3 +167,24 @@
 		r.Announce(0, a)
 	}
 }
+
+// The VM that heard an upstream leave falls silent, while another VM still has its older word.
+func TestLeavingOutlivesTheVMThatHeardIt(t *testing.T) {
+	wide := func(vm id.VM) *Roster { return NewWide(vm, 1, 4*time.Second, func() {}) }
+	heard, other, asks := wide("vm0"), wide("vm1"), wide("vm2")
+	require.NoError(t, other.Announce(0, announcement("u", 1, engine.Ready)))
+	require.NoError(t, heard.Announce(time.Second, announcement("u", 1, engine.Ready)))
+	heard.Depart(2*time.Second, "u", 1)
+	asks.Hear(2*time.Second, other.Vouch(true))
+	require.Len(t, names(asks), 1)
+	asks.Hear(2*time.Second, heard.Vouch(true))
+	require.Empty(t, names(asks))
+	for at := 3 * time.Second; at < 8*time.Second; at += time.Second {
+		asks.Hear(at, other.Vouch(true)) // the first VM says nothing more
+		asks.Expire(at)
+		require.Empty(t, names(asks), "at %s", at)
+	}
+	require.NoError(t, other.Announce(8*time.Second, announcement("u", 2, engine.Ready)))
+	asks.Hear(8*time.Second, other.Vouch(true))
+	require.Len(t, names(asks), 1, "a new life under the old name")
+}
