Without a leader a VM admits a part of its share of a customer's rate

A VM may now admit 0.4 of an even share, which the tolerance has room for: summed over a data centre that is cut off and over a lease it stays inside. Also: a tolerance near zero made the bucket larger than what it allows; found by TestToleranceStaysInside. Tests: TestSpareWithoutLeader, TestToleranceStaysInside.

--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -287,6 +287,7 @@
 
 func (v *VM) buildLimits() {
 	v.limiter.Extra = tolerance(v.cfg)
+	v.limiter.Alone = func(now time.Duration) (int, bool) { return v.entries(), v.authority.Alone(now) }
 	v.limiter.Drawer, v.limiter.Short = v.authority, v.authority.ReportSoon
 	v.authority.OnDemand(func(now time.Duration) []authority.Demand {
 		var list []authority.Demand
--- a/internal/services/authority/handle.go
+++ b/internal/services/authority/handle.go
@@ -237,9 +237,20 @@
 	ctx, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
 	r, err := a.draw(ctx, drawRequest{Customer: c, Tokens: tokens})
+	if err != nil {
+		a.undrawn.Store(int64(clock.Boot()))
+	} else {
+		a.undrawn.Store(0)
+	}
 	return err == nil && r.Granted
 }
 
+// Alone reports whether the latest draw, not long before now, reached no leader.
+func (a *Authority) Alone(now time.Duration) bool {
+	at := time.Duration(a.undrawn.Load())
+	return at > 0 && now-at < a.timing.Lease
+}
+
 func (a *Authority) draw(ctx context.Context, q drawRequest) (drawAnswer, error) {
 	if now := clock.Boot(); a.Leading(now) {
 		return drawAnswer{Granted: a.leader.draw(now, q)}, nil
--- a/internal/services/limit/limiter.go
+++ b/internal/services/limit/limiter.go
@@ -26,9 +26,12 @@
 // Limiter holds this VM's buckets. The path of a request takes no lock.
 type Limiter struct {
 	buckets sync.Map // id.Customer to *Bucket
+	spare   sync.Map // id.Customer to *Bucket, for times without a leader
 	Drawer  Drawer
 	Extra   Tolerance
-	Short   func() // called when a share does not suffice, to report demand early
+	// Alone reports whether no leader could be reached for draws lately, and how many VMs admit requests. Nil never is.
+	Alone func(now time.Duration) (vms int, alone bool)
+	Short func() // called when a share does not suffice, to report demand early
 }
 
 // Bucket returns the bucket of c.
@@ -83,6 +86,9 @@
 				return nil
 			}
 		}
+		if l.takeSpare(at, c, need) {
+			return nil // nothing is to be given back: no share holds it
+		}
 		if !possible {
 			wait = min(drawBackoff, max(end-at, 0))
 		}
@@ -95,6 +101,35 @@
 	}
 }
 
+// sparePart is the part of its share of a customer's rate that a VM may admit without a leader. Summed over the VMs of a data
+// centre that is cut off, and over a VM lease, it stays inside what the tolerance leaves.
+const sparePart = 0.4
+
+// spareSpan is the time whose part a VM may admit at once.
+const spareSpan = time.Second
+
+// takeSpare admits what a VM may without a leader, which alone knows what the others have used.
+func (l *Limiter) takeSpare(now time.Duration, c *call.Call, need float64) bool {
+	if l.Alone == nil || l.Extra.Span <= 0 {
+		return false
+	}
+	vms, alone := l.Alone(now)
+	if !alone {
+		return false
+	}
+	rate := sparePart * c.Config.Resolve(policy.Rate, c.Customer, "").Value / float64(max(1, vms))
+	part := Part{Rate: rate, Burst: rate * spareSpan.Seconds()}
+	v, known := l.spare.LoadOrStore(c.Customer, &Bucket{})
+	b := v.(*Bucket)
+	if b.Part() != part {
+		b.Set(now, part)
+		if !known {
+			b.Give(now, part.Burst)
+		}
+	}
+	return b.Take(now, need)
+}
+
 func refuse(c *call.Call, b *Bucket, now time.Duration, need float64) error {
 	rate := c.Config.Resolve(policy.Rate, c.Customer, "").Value
 	wait, ok := b.Wait(now, need)
--- /dev/null
+++ b/internal/services/limit/limiter_test.go
@@ -0,0 +1,60 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/call"
+)
+
+// Load pattern: the leader is lost while requests go on. Without it a VM admits a part of its share, never more.
+func TestSpareWithoutLeader(t *testing.T) {
+	cfg := state.New().Config()
+	l := &Limiter{Drawer: noDraw{}, Extra: Tolerance{Over: 0.1, Span: 8 * time.Second}}
+	now := time.Second
+	alone := false
+	l.Alone = func(time.Duration) (int, bool) { return 10, alone }
+	ask := func() bool {
+		c := &call.Call{Config: cfg, Customer: "c", Prompt: 100, Wait: time.Nanosecond}
+		return l.Reserve(context.Background(), func() time.Duration { return now }, c) == nil
+	}
+	require.False(t, ask(), "a leader that refuses is obeyed")
+	alone = true
+	rate := cfg.Resolve(policy.Rate, "c", "").Value
+	admitted := 0.0
+	for end := now + 3*time.Second; now < end; now += 10 * time.Millisecond {
+		for ask() {
+			admitted += 100
+		}
+	}
+	most := sparePart * rate / 10 * (3 + spareSpan.Seconds())
+	require.LessOrEqual(t, admitted, most)
+	require.Greater(t, admitted, 0.9*most-100)
+}
+
+// noDraw reaches nobody.
+type noDraw struct{}
+
+func (noDraw) Draw(context.Context, id.Customer, float64) bool { return false }
+
+// The bucket of a tolerance never admits more in any span than limit and tolerance allow.
+func TestToleranceStaysInside(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Part{Rate: rapid.Float64Range(1, 1e6).Draw(t, "rate"), Burst: rapid.Float64Range(1, 1e6).Draw(t, "burst")}
+		x := Tolerance{
+			Over: rapid.Float64Range(0, 0.5).Draw(t, "over"), Slack: rapid.Float64Range(0, 1e6).Draw(t, "slack"), Span: 8 * time.Second,
+		}
+		got := x.Apply(limit)
+		span := x.Span.Seconds()
+		allowed := (1+x.Over)*(limit.Rate*span+limit.Burst) + x.Slack
+		require.LessOrEqual(t, got.Rate*span+got.Burst, allowed*1.000001)
+		require.GreaterOrEqual(t, got.Rate, limit.Rate)
+	})
+}
--- a/internal/services/limit/tolerance.go
+++ b/internal/services/limit/tolerance.go
@@ -24,5 +24,6 @@
 		return limit
 	}
 	allowed := (1+t.Over)*(limit.Rate*span+limit.Burst) + t.Slack
-	return Part{Rate: max(limit.Rate, ratePart*allowed/span), Burst: burstPart * allowed}
+	rate := max(limit.Rate, ratePart*allowed/span)
+	return Part{Rate: rate, Burst: min(burstPart*allowed, allowed-rate*span)}
 }
