A call waits for the first configuration of a VM that just started

Ruled out: a shorter first election, as a member grants no vote for an election timeout after its start, on which the leader's reads rest; the restart of one VM, where the others answer. A VM that loses its lease later does not wait. Left: after such a restart the limits start empty, and refuse for another half second.

--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -64,6 +65,7 @@
 	budgets sync.Map // id.Service to *retry.Budget
 	known   memories
 	asked   sync.Map // id.Service to *atomic.Int64
+	settled atomic.Bool
 }
 
 // Serve answers c at out. A refusal is for the caller's face to write; ErrCut and ErrGone end the connection.
@@ -84,6 +86,9 @@
 func (f *Forwarder) decide(ctx context.Context, c *Call) error {
 	first := c.config == nil
 	c.config = f.Config()
+	if first {
+		f.settle(ctx, c)
+	}
 	if err := f.admit(c); err != nil {
 		return err
 	}
