Refused requests are told to come back one after the other

Cause: all that a customer's empty rate refused in a moment were told the same time, came back at once, and all but one were refused again; most seen under a hot customer and after a restart. Ruled out: a first filling of the buckets after a restart, as the span before may be used up.

--- a/internal/services/limit/bucket.go
+++ b/internal/services/limit/bucket.go
@@ -18,6 +18,7 @@
 	demand atomic.Uint64
 	seen   atomic.Int64
 	back   atomic.Uint64 // tokens dropped by smaller shares, float bits
+	booked atomic.Int64  // when the tokens that refused requests were told to come back for have flowed in
 }
 
 // fill is an immutable state of a bucket.
@@ -148,6 +149,28 @@
 	return time.Duration((n - f.level) / f.part.Rate * float64(time.Second)), true
 }
 
+// promiseMost bounds the time to come back: a caller that waits longer than this has mostly gone.
+const promiseMost = time.Second
+
+// Promise returns when a refused request of n tokens may come back: after those that were refused before it, as all
+// who are told the same moment come at once, and but one is admitted.
+func (b *Bucket) Promise(now time.Duration, n float64) time.Duration {
+	wait, ok := b.Wait(now, n)
+	if !ok {
+		return promiseMost
+	}
+	rate := b.load().part.Rate
+	for rate > 0 {
+		old := b.booked.Load()
+		next := max(time.Duration(old), now) + time.Duration(n/rate*float64(time.Second))
+		next = min(next, now+promiseMost)
+		if b.booked.CompareAndSwap(old, int64(next)) {
+			return min(promiseMost, max(wait, next-now))
+		}
+	}
+	return wait
+}
+
 // Demand returns the tokens a second asked for lately, a moving average.
 func (b *Bucket) Demand(now time.Duration) float64 {
 	last := time.Duration(b.seen.Swap(int64(now)))
--- a/internal/services/limit/limiter.go
+++ b/internal/services/limit/limiter.go
@@ -132,10 +132,7 @@
 
 func refuse(c *call.Call, b *Bucket, now time.Duration, need float64) error {
 	rate := c.Config.Resolve(policy.Rate, c.Customer, "").Value
-	wait, ok := b.Wait(now, need)
-	if !ok && rate > 0 {
-		wait = time.Duration(need / rate * float64(time.Second))
-	}
+	wait := b.Promise(now, need)
 	return call.Refuse(http.StatusTooManyRequests, call.OverRate, step,
 		"customer %s is over its rate of %.0f tokens/s", c.Customer, rate).After(max(wait, leastRetry))
 }
