--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(GO) test ./...
 
 race:
-	$(GO) test -race ./internal/...
+	$(GO) test -race ./internal/... ./platform
 
 lint:
 	@test -z "$$($(GO) tool gofumpt -l main.go cmd internal platform)" || { $(GO) tool gofumpt -l main.go cmd internal platform; exit 1; }
--- /dev/null
+++ b/internal/routers/vm/fleet_test.go
@@ -0,0 +1,294 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtaillift/internal/models/customer"
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/modules/cert"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/setting"
+	"wagtaillift/internal/services/authority"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/emulate"
+)
+
+const (
+	testZone  = "a"
+	testModel = "verdict"
+	testApp   = "booking"
+	waitLimit = 20 * time.Second
+	waitPoll  = 20 * time.Millisecond
+)
+
+// fastTiming makes an engine quick enough for tests.
+func fastTiming() emulate.Timing {
+	return emulate.Timing{
+		Step: time.Millisecond, Prefill: time.Microsecond, Decode: time.Microsecond, Chunk: 4096, Change: 50 * time.Millisecond,
+	}
+}
+
+// fleet is a few VMs in one process with their stand-ins.
+type fleet struct {
+	opt     fleetOptions
+	t       testing.TB
+	folder  string
+	vms     []*VM
+	stops   []func()
+	secrets map[string]string
+	ledger  *emulate.Ledger
+	engines []*emulate.Engine
+	apps    []*emulate.App
+	ctx     context.Context
+}
+
+// fleetOptions are what a test sets in the VMs' settings.
+type fleetOptions struct {
+	platform string
+	window   time.Duration
+	slow     time.Duration
+	limit    time.Duration
+}
+
+// newFleet starts n VMs of one data centre; the first is the only voter.
+func newFleet(t testing.TB, n int) *fleet { return (&fleetOptions{}).start(t, n) }
+
+func (o *fleetOptions) start(t testing.TB, n int) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{t: t, opt: *o, folder: t.TempDir(), secrets: map[string]string{}, ledger: &emulate.Ledger{}, ctx: ctx}
+	require.NoError(t, cert.NewCA(f.path("ca"), "test", time.Now(), time.Hour))
+	t.Cleanup(func() {
+		for _, stop := range f.stops {
+			stop()
+		}
+		cancel()
+	})
+	f.found()
+	for i := range n {
+		f.add(i)
+	}
+	for _, v := range f.vms {
+		f.until("VM lease", func() bool { return v.authority.LeaseEnd() > 0 })
+	}
+	for _, v := range f.vms {
+		f.until("shares", func() bool {
+			_, body := f.do(v, "GET", "/s/booking/x", f.secrets["one"], "")
+			return strings.Contains(body, string(call.NoUpstream)) // it has passed the limit
+		})
+	}
+	return f
+}
+
+func (f *fleet) path(parts ...string) string {
+	return filepath.Join(append([]string{f.folder}, parts...)...)
+}
+
+func vmName(i int) string { return fmt.Sprint("vm", i+1) }
+
+// found writes the first state: two customers, a model and an application.
+func (f *fleet) found() {
+	var list []state.Command
+	add := func(ch state.Change) {
+		ch.Any, ch.Request = true, id.Request(fmt.Sprint("found-", len(list)))
+		list = append(list, state.Command{Change: &ch})
+	}
+	addKey := func(k key.Key) {
+		secret, hash, err := key.Generate(k.ID)
+		require.NoError(f.t, err)
+		k.Hash = hash
+		f.secrets[string(k.ID)] = secret
+		add(state.Change{Key: &k})
+	}
+	for _, c := range []id.Customer{"one", "two"} {
+		add(state.Change{Customer: &customer.Customer{ID: c}})
+		addKey(key.Key{ID: id.Key(c), Role: key.Caller, Customer: c})
+	}
+	addKey(key.Key{ID: "upstream", Role: key.Upstream})
+	addKey(key.Key{ID: "admin", Role: key.Admin})
+	add(state.Change{Service: &service.Service{ID: testModel, Kind: service.Model, Model: testModel}})
+	add(state.Change{Service: &service.Service{ID: testApp, Kind: service.Plain}})
+	add(state.Change{Service: &service.Service{ID: "open", Kind: service.Plain, Open: true}})
+	add(state.Change{Service: &service.Service{ID: "private", Kind: service.Plain, Customers: []id.Customer{"two"}}})
+	add(state.Change{Defaults: policy.Defaults{policy.Rate: 1e8, policy.Burst: 1e8, policy.Retries: 1}})
+	require.NoError(f.t, authority.Found(f.path("vm1", "data"), "vm1", list))
+}
+
+func (f *fleet) config(i int) setting.Config {
+	cfg := setting.Default()
+	cfg.VM, cfg.Zone = vmName(i), testZone
+	cfg.Listen = setting.Listen{
+		Caller: "127.0.0.1:0", Operator: "127.0.0.1:0", Upstream: "127.0.0.1:0", Peer: "127.0.0.1:0", Metrics: "127.0.0.1:0",
+	}
+	cfg.Peers.Cert = f.path(cfg.VM, "cert")
+	cfg.Stop.Lead = 10 * time.Millisecond
+	cfg.Bill.Platform = f.opt.platform
+	for _, o := range []struct {
+		to    *time.Duration
+		value time.Duration
+	}{{&cfg.Bill.Window, f.opt.window}, {&cfg.Caller.Slow, f.opt.slow}, {&cfg.Stop.Limit, f.opt.limit}} {
+		if o.value > 0 {
+			*o.to = o.value
+		}
+	}
+	if i == 0 {
+		cfg.Data.Folder = f.path(cfg.VM, "data")
+	} else {
+		cfg.Peers.Seeds = []string{f.vms[0].PeerAddress()}
+	}
+	return cfg
+}
+
+func (f *fleet) add(i int) *VM {
+	cfg := f.config(i)
+	require.NoError(f.t, cert.NewVM(f.path("ca"), cfg.Peers.Cert, id.VM(cfg.VM), testZone, time.Now(), time.Hour))
+	v, err := New(cfg)
+	require.NoError(f.t, err)
+	f.vms = append(f.vms, v)
+	f.stops = append(f.stops, f.run(v))
+	return v
+}
+
+// run starts v and returns the function that stops it gracefully, once.
+func (f *fleet) run(v *VM) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		v.Run(ctx)
+		close(done)
+	}()
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			cancel()
+			<-done
+		})
+	}
+}
+
+// kill ends VM i without a goodbye: its peers hear nothing more of it.
+func (f *fleet) kill(i int) {
+	f.vms[i].transport.Close()
+	f.stops[i]()
+}
+
+func (f *fleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	end := time.Now().Add(waitLimit)
+	for !ok() {
+		require.True(f.t, time.Now().Before(end), "not reached in time: %s", what)
+		time.Sleep(waitPoll)
+	}
+}
+
+func (f *fleet) announceTo() []string {
+	var list []string
+	for _, v := range f.vms {
+		list = append(list, v.UpstreamURL())
+	}
+	return list
+}
+
+func (f *fleet) engine(i int, faults emulate.Faults) *emulate.Engine {
+	return f.priced(i, faults, false)
+}
+
+// priced starts an engine that is cheap or not.
+func (f *fleet) priced(i int, faults emulate.Faults, cheap bool) *emulate.Engine {
+	e := emulate.NewEngine(emulate.Options{
+		Announcement: engine.Announcement{
+			Name: id.Upstream(fmt.Sprint("engine", i)), Zone: testZone, Address: "127.0.0.1:0", Model: testModel, Pieces: 100000,
+			Cheap: cheap,
+		},
+		Announce: f.announceTo(), Key: f.secrets["upstream"], Timing: fastTiming(), Faults: faults, Seed: uint64(i),
+		Restart: 300 * time.Millisecond,
+	})
+	require.NoError(f.t, e.Start(f.ctx))
+	f.engines = append(f.engines, e)
+	return e
+}
+
+func (f *fleet) app(name string, svc id.Service) *emulate.App {
+	a := &emulate.App{
+		Announcement: engine.Announcement{Name: id.Upstream(name), Zone: testZone, Address: "127.0.0.1:0", Service: svc},
+		Announce:     f.announceTo(), Key: f.secrets["upstream"], Ledger: f.ledger,
+	}
+	require.NoError(f.t, a.Start(f.ctx))
+	f.apps = append(f.apps, a)
+	return a
+}
+
+// ready waits until every VM knows n upstreams.
+func (f *fleet) ready(n int) {
+	for _, v := range f.vms {
+		f.until("upstreams known", func() bool { return len(v.roster.Snapshot().All) == n })
+	}
+}
+
+func (f *fleet) targets() []string {
+	var list []string
+	for _, v := range f.vms {
+		list = append(list, v.CallerURL())
+	}
+	return list
+}
+
+// do sends one request and returns the answer with its body.
+func (f *fleet) do(v *VM, method, path, secret, body string, head ...string) (*http.Response, string) {
+	r, err := http.NewRequest(method, v.CallerURL()+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	if secret != "" {
+		r.Header.Set("Authorization", "Bearer "+secret)
+	}
+	for i := 0; i+1 < len(head); i += 2 {
+		r.Header.Set(head[i], head[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	return resp, string(data)
+}
+
+func chat(text string, most int, stream bool) string {
+	data, _ := json.Marshal(map[string]any{
+		"model": testModel, "max_tokens": most, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": text}},
+	})
+	return string(data)
+}
+
+// expected is the answer of the emulator to chat(text, most).
+func expected(text string, most int) string {
+	raw, _ := json.Marshal(text)
+	b := call.ModelBody{Messages: []call.Message{{Role: "user", Content: raw}}}
+	return emulate.Answer(b.Text(), most)
+}
+
+// requireRefusal checks the status, the code and the run of a refusal, in the header and in the body.
+func requireRefusal(t *testing.T, resp *http.Response, body string, status int, code call.Code, run call.Run) {
+	t.Helper()
+	var p struct {
+		Error struct{ Code, Run string }
+	}
+	require.Equal(t, status, resp.StatusCode, body)
+	require.NoError(t, json.Unmarshal([]byte(body), &p))
+	require.Equal(t, string(code), p.Error.Code)
+	require.Equal(t, string(run), p.Error.Run)
+	require.Equal(t, string(run), resp.Header.Get("Wagtaillift-Run"))
+}
