A call does not ask the same upstream again at once

Ruled out: the budget of repeated requests (20, of which 5 were used), a refusal at its rate. Change: before an upstream that was tried is asked again there is a pause of 50 ms, then twice as long each time. The users' platform's face goes another way (services/forward) and is not touched.

--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -20,6 +20,7 @@
 
 // progress is what the caller has of an answer, over all attempts.
 type progress struct {
+	again  int // times that an upstream was asked again
 	tokens id.Tokens
 	chunks bytes.Buffer // JSON chunks delivered, a line each
 	sent   bool         // some attempt reached an upstream
@@ -117,6 +118,7 @@
 	}
 	defer leave()
 	u := ch.Upstream
+	pr.waitAgain(ctx, tried[u.Name])
 	tried[u.Name], pr.now = true, false
 	free, ok := d.isolate(u.Name, p)
 	if !ok {
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -92,6 +92,7 @@
 	}
 	defer leave()
 	u := ch.Upstream
+	pr.waitAgain(ctx, tried[u.Name])
 	tried[u.Name] = true
 	free, ok := d.isolate(u.Name, p)
 	if !ok {
