A call that has begun stays one while its next engine is held by a suspect

Cause: TestCrashingRequestIsStopped, second form: where an engine could not be had alone, it was taken from the call's tried ones, although it had been tried before; with none left the call queued as a new one, and was refused after the queue's time (0.76 s) instead of waiting. Ruled out: the roster (all four engines were announced), circuits (five failures in a row open).

--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -118,14 +118,14 @@
 	}
 	defer leave()
 	u := ch.Upstream
-	pr.waitAgain(ctx, tried[u.Name])
-	tried[u.Name], pr.now = true, false
+	pr.now = false
 	free, ok := d.isolate(u.Name, p)
 	if !ok {
-		delete(tried, u.Name)
 		return errSuspect
 	}
 	defer free()
+	pr.waitAgain(ctx, tried[u.Name])
+	tried[u.Name] = true
 	err = d.stream(ctx, c, u, out, pr)
 	note(c, ch, err)
 	if err == nil {
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -92,14 +92,13 @@
 	}
 	defer leave()
 	u := ch.Upstream
-	pr.waitAgain(ctx, tried[u.Name])
-	tried[u.Name] = true
 	free, ok := d.isolate(u.Name, p)
 	if !ok {
-		delete(tried, u.Name)
 		return nil, true, errSuspect
 	}
 	defer free()
+	pr.waitAgain(ctx, tried[u.Name])
+	tried[u.Name] = true
 	a, sent, err := d.exchange(ctx, c, u)
 	pr.sent, pr.now = pr.sent || sent, sent
 	note(c, ch, err)
