One map of values made on demand, and one place that says what a refused request may have done

internal/modules/lazy serves the limiter's buckets, both dispatchers' retry budgets, the gates and the counts of prompt tokens, which had the same six lines each; call.RunIf replaces three copies. No behaviour changes.

--- a/internal/services/call/call.go
+++ b/internal/services/call/call.go
@@ -21,6 +21,14 @@
 	Yes     Run = "yes"
 )
 
+// RunIf returns what is known of a request of which some byte was sent, or none.
+func RunIf(sent bool) Run {
+	if sent {
+		return Unknown
+	}
+	return No
+}
+
 // Code names a refusal; callers may branch on it.
 type Code string
 
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -17,6 +16,7 @@
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/lazy"
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/quarantine"
@@ -52,8 +52,8 @@
 	// Pick chooses the upstream; nil means route.Pick.
 	Pick func(now time.Duration, list []*roster.Upstream, q *route.Query) route.Choice
 
-	budgets sync.Map // budgetKey to *retry.Budget
-	gates   sync.Map // id.Service to *gate
+	budgets lazy.Map[budgetKey, retry.Budget]
+	gates   lazy.Map[id.Service, gate]
 }
 
 type budgetKey struct {
@@ -97,21 +97,13 @@
 	if !again {
 		limit = min(limit, c.Config.Seconds(policy.Queue, c.Customer, c.Service.ID))
 	}
-	ch, wait := d.gate(c.Service.ID).enter(ctx, t, limit)
+	ch, wait := d.gates.Get(c.Service.ID).enter(ctx, t, limit)
 	if ch.Upstream == nil {
 		return ch, nil, refusePick(c, ch, wait)
 	}
 	return ch, leave, nil
 }
 
-func (d *Dispatcher) gate(s id.Service) *gate {
-	if g, ok := d.gates.Load(s); ok {
-		return g.(*gate)
-	}
-	g, _ := d.gates.LoadOrStore(s, &gate{})
-	return g.(*gate)
-}
-
 func refusePick(c *call.Call, ch route.Choice, wait time.Duration) error {
 	if ch.Rule == route.Full {
 		return call.Refuse(http.StatusServiceUnavailable, call.Busy, step,
@@ -181,17 +173,10 @@
 
 // allowRetry takes one retry from the budget of c's customer and service.
 func (d *Dispatcher) allowRetry(c *call.Call) bool {
-	return d.budget(c).Spend(budgetBurst)
+	return d.budgets.Get(budgetOf(c)).Spend(budgetBurst)
 }
 
-func (d *Dispatcher) budget(c *call.Call) *retry.Budget {
-	k := budgetKey{c.Customer, c.Service.ID}
-	if b, ok := d.budgets.Load(k); ok {
-		return b.(*retry.Budget)
-	}
-	b, _ := d.budgets.LoadOrStore(k, &retry.Budget{})
-	return b.(*retry.Budget)
-}
+func budgetOf(c *call.Call) budgetKey { return budgetKey{c.Customer, c.Service.ID} }
 
 // isolate reserves u for p where p is a suspect. The returned function frees it.
 func (d *Dispatcher) isolate(u id.Upstream, p quarantine.Print) (free func(), ok bool) {
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -36,7 +36,7 @@
 		return call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step,
 			"this request crashed the engines that ran it").After(wait)
 	}
-	d.budget(c).Earn(c.Config.Resolve(policy.Retries, c.Customer, c.Service.ID).Value)
+	d.budgets.Get(budgetOf(c)).Earn(c.Config.Resolve(policy.Retries, c.Customer, c.Service.ID).Value)
 	var pr progress
 	tried := map[id.Upstream]bool{}
 	for attempt := 0; attempt < maxAttempts; attempt++ {
@@ -79,10 +79,7 @@
 }
 
 func expired(c *call.Call, pr *progress) error {
-	run := call.No
-	if pr.sent {
-		run = call.Unknown
-	}
+	run := call.RunIf(pr.sent)
 	if c.R.Context().Err() != nil {
 		return &call.Refusal{Status: statusClientGone, Code: call.Failed, Run: run, Step: step, Reason: "the caller has gone"}
 	}
@@ -95,12 +92,8 @@
 const statusClientGone = 499
 
 func failed(pr *progress, err error) error {
-	run := call.No
-	if pr.sent {
-		run = call.Unknown
-	}
 	return &call.Refusal{
-		Status: http.StatusBadGateway, Code: call.Failed, Run: run, Retry: retryAfter, Step: step,
+		Status: http.StatusBadGateway, Code: call.Failed, Run: call.RunIf(pr.sent), Retry: retryAfter, Step: step,
 		Reason: "the upstreams failed", Err: err,
 	}
 }
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -58,7 +58,7 @@
 		return nil, call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step,
 			"this request crashed the upstreams that ran it").After(wait)
 	}
-	d.budget(c).Earn(c.Config.Resolve(policy.Retries, c.Customer, c.Service.ID).Value)
+	d.budgets.Get(budgetOf(c)).Earn(c.Config.Resolve(policy.Retries, c.Customer, c.Service.ID).Value)
 	var pr progress
 	tried := map[id.Upstream]bool{}
 	for attempt := 0; attempt < maxAttempts; attempt++ {
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithDeadline(parent, c.deadline.Add(-answerMargin))
 	defer cancel()
 	if len(c.trail) == 0 {
-		f.budget(c.service.ID).Earn(f.Retries.Part)
+		f.budgets.Get(c.service.ID).Earn(f.Retries.Part)
 	}
 	p := progress{tried: map[id.Upstream]bool{}}
 	for {
@@ -155,11 +155,7 @@
 }
 
 func failed(status int, code call.Code, sent bool, reason string, err error) error {
-	run := call.No
-	if sent {
-		run = call.Unknown
-	}
-	return &call.Refusal{Status: status, Code: code, Run: run, Step: step, Reason: reason, Err: err}
+	return &call.Refusal{Status: status, Code: code, Run: call.RunIf(sent), Step: step, Reason: reason, Err: err}
 }
 
 // apart has h read the prompt and another engine generate from it.
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/lazy"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/limit"
 	"wagtaillift/internal/services/pipeline"
@@ -62,9 +62,9 @@
 	// Orders returns the last order of every upstream: one that changes its role takes no new work.
 	Orders func() map[id.Upstream]order.Order
 
-	budgets sync.Map // id.Service to *retry.Budget
+	budgets lazy.Map[id.Service, retry.Budget]
 	known   memories
-	asked   sync.Map // id.Service to *atomic.Int64
+	asked   lazy.Map[id.Service, atomic.Int64] // prompt tokens since they were last told
 	settled atomic.Bool
 }
 
@@ -184,15 +184,7 @@
 
 // again takes one repeated request from the budget of c's service.
 func (f *Forwarder) again(c *Call) bool {
-	return f.budget(c.service.ID).Spend(f.Retries.Burst / float64(max(1, f.Members())))
-}
-
-func (f *Forwarder) budget(s id.Service) *retry.Budget {
-	if b, ok := f.budgets.Load(s); ok {
-		return b.(*retry.Budget)
-	}
-	b, _ := f.budgets.LoadOrStore(s, &retry.Budget{})
-	return b.(*retry.Budget)
+	return f.budgets.Get(c.service.ID).Spend(f.Retries.Burst / float64(max(1, f.Members())))
 }
 
 // print identifies c among requests that are sent again.
--- a/internal/services/forward/share.go
+++ b/internal/services/forward/share.go
@@ -33,11 +33,10 @@
 // Asked implements tally.Work.
 func (f *Forwarder) Asked() []tally.Asked {
 	var list []tally.Asked
-	f.asked.Range(func(k, v any) bool {
-		if n := v.(*atomic.Int64).Swap(0); n > 0 {
-			list = append(list, tally.Asked{Service: k.(id.Service), Tokens: n})
+	f.asked.Each(func(s id.Service, v *atomic.Int64) {
+		if n := v.Swap(0); n > 0 {
+			list = append(list, tally.Asked{Service: s, Tokens: n})
 		}
-		return true
 	})
 	return list
 }
@@ -45,11 +44,7 @@
 // ask counts prompt tokens that a call asks to have read: those of its own last part. Shared parts are read seldom at
 // rest, and often just after a change of roles, which must not bring about the next one.
 func (f *Forwarder) ask(s id.Service, n id.Tokens) {
-	v, ok := f.asked.Load(s)
-	if !ok {
-		v, _ = f.asked.LoadOrStore(s, &atomic.Int64{})
-	}
-	v.(*atomic.Int64).Add(int64(n))
+	f.asked.Get(s).Add(int64(n))
 }
 
 // SetOthers implements tally.Work.
--- a/internal/services/limit/limiter.go
+++ b/internal/services/limit/limiter.go
@@ -8,6 +8,7 @@
 
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/lazy"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/services/call"
 )
@@ -25,7 +26,7 @@
 
 // Limiter holds this VM's buckets. The path of a request takes no lock.
 type Limiter struct {
-	buckets sync.Map // id.Customer to *Bucket
+	buckets lazy.Map[id.Customer, Bucket]
 	spare   sync.Map // id.Customer to *Bucket, for times without a leader
 	Drawer  Drawer
 	Extra   Tolerance
@@ -35,21 +36,10 @@
 }
 
 // Bucket returns the bucket of c.
-func (l *Limiter) Bucket(c id.Customer) *Bucket {
-	if b, ok := l.buckets.Load(c); ok {
-		return b.(*Bucket)
-	}
-	b, _ := l.buckets.LoadOrStore(c, &Bucket{})
-	return b.(*Bucket)
-}
+func (l *Limiter) Bucket(c id.Customer) *Bucket { return l.buckets.Get(c) }
 
 // Each calls f for every bucket.
-func (l *Limiter) Each(f func(c id.Customer, b *Bucket)) {
-	l.buckets.Range(func(k, v any) bool {
-		f(k.(id.Customer), v.(*Bucket))
-		return true
-	})
-}
+func (l *Limiter) Each(f func(c id.Customer, b *Bucket)) { l.buckets.Each(f) }
 
 // Reserve takes what c may need from its customer's rate. It waits a little where that is enough, draws what is too
 // big for this VM's share from the undivided rest, and else refuses with the time to come back.
@@ -59,9 +49,8 @@
 		Rate: c.Config.Resolve(policy.Rate, c.Customer, "").Value, Burst: c.Config.Resolve(policy.Burst, c.Customer, "").Value,
 	}).Burst
 	if need > total {
-		r := call.Refuse(http.StatusRequestEntityTooLarge, call.OverBurst, step,
+		return call.Refuse(http.StatusRequestEntityTooLarge, call.OverBurst, step,
 			"the request may need %.0f tokens and the customer's burst is %.0f", need, total)
-		return r
 	}
 	b := l.Bucket(c.Customer)
 	b.Ask(need)
