What engines keep of a prompt is looked up once for a request, under one lock

It was looked up twice for each engine, with a lock each time. A load in slots, the running and the unread work of an upstream are counted in one place. No behaviour changes.

--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -108,7 +108,7 @@
 	var best *roster.Upstream
 	least := math.Inf(1)
 	for _, u := range f.eligible(c, p, func(u *roster.Upstream) bool { return u.Role != engine.Prefill }) {
-		load := float64(u.Work.Requests.Load()+u.Work.OtherRequests.Load())/float64(max(1, c.service.Engine.Slots)) + faultLoad*u.Work.Faults()
+		load := loadOf(u, c.service.Engine.Slots)
 		if u.Zone != f.Zone {
 			load += farGenerate
 		}
@@ -126,17 +126,22 @@
 	return h.enter(), nil
 }
 
+// loadOf returns the load of u in parts of its slots, raised where its answers fail.
+func loadOf(u *roster.Upstream, slots int) float64 {
+	return float64(u.Work.Running())/float64(max(1, slots)) + faultLoad*u.Work.Faults()
+}
+
 // choosePlain takes the least loaded upstream, one of this data centre before others.
 func (f *Forwarder) choosePlain(c *Call, list []*roster.Upstream) *chosen {
 	var best *roster.Upstream
 	least := math.Inf(1)
 	var rank uint64
 	for _, u := range list {
-		slots := float64(plainSlots)
+		slots := plainSlots
 		if u.Slots > 0 {
-			slots = float64(u.Slots)
+			slots = u.Slots
 		}
-		load := float64(u.Work.Requests.Load()+u.Work.OtherRequests.Load())/slots + faultLoad*u.Work.Faults()
+		load := loadOf(u, slots)
 		if u.Zone != f.Zone {
 			load += farLoad
 		}
@@ -151,15 +156,16 @@
 // chooseEngine asks package place. A request that has begun goes on wherever it can.
 func (f *Forwarder) chooseEngine(c *Call, list []*roster.Upstream, again bool) (*chosen, error) {
 	key := c.Parts[max(0, len(c.Parts)-2)].Chain
-	holders := f.holders(c)
+	kept := f.known.cached(f.Roster.Snapshot().Services[c.service.ID], c.Parts)
+	holders := f.holders(c, kept)
 	views := make([]place.View, len(list))
 	sources := make([]string, len(list))
 	for i, u := range list {
-		cached := f.known.cached(u, c.Parts)
+		cached := kept[u.Name]
 		from, fetch, took := holders.best(c, u, cached)
 		views[i] = place.View{
-			Reading: id.Tokens(u.Work.Reading.Load() + u.Work.OtherReading.Load()),
-			Running: int(u.Work.Requests.Load() + u.Work.OtherRequests.Load()),
+			Reading: u.Work.Unread(),
+			Running: int(u.Work.Running()),
 			Slots:   c.service.Engine.Slots,
 			Speed:   u.Work.Speed(u.Role == engine.Prefill),
 			Apart:   u.Role == engine.Prefill,
@@ -225,10 +231,15 @@
 	return e
 }
 
-func (m *memories) cached(u *roster.Upstream, parts []place.Part) id.Tokens {
+// cached returns how many leading tokens of parts each engine of list is believed to keep.
+func (m *memories) cached(list []*roster.Upstream, parts []place.Part) map[id.Upstream]id.Tokens {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.of(u.Name, u.Incarnation).Cached(parts)
+	out := make(map[id.Upstream]id.Tokens, len(list))
+	for _, u := range list {
+		out[u.Name] = m.of(u.Name, u.Incarnation).Cached(parts)
+	}
+	return out
 }
 
 // keep notes that u reads c's prompt, and what the other VMs are to know of it.
--- a/internal/services/forward/holders.go
+++ b/internal/services/forward/holders.go
@@ -20,16 +20,15 @@
 // holders are the engines that keep most of a prompt, one in each data centre.
 type holders map[id.Zone]holder
 
-// holders finds the engines that keep most of c's prompt. Any role will do.
-func (f *Forwarder) holders(c *Call) holders {
+// holders finds the engines that keep most of c's prompt, from what each keeps. Any role will do.
+func (f *Forwarder) holders(c *Call, kept map[id.Upstream]id.Tokens) holders {
 	out := holders{}
 	now := clock.Boot()
 	for _, u := range f.Roster.Snapshot().Services[c.service.ID] {
 		if u.Work.Open(now) {
 			continue
 		}
-		n := f.known.cached(u, c.Parts)
-		if n > out[u.Zone].tokens {
+		if n := kept[u.Name]; n > out[u.Zone].tokens {
 			out[u.Zone] = holder{u: u, tokens: n}
 		}
 	}
--- a/internal/services/roster/work.go
+++ b/internal/services/roster/work.go
@@ -55,6 +55,12 @@
 // Room reports whether the upstream may take another request from this VM.
 func (w *Work) Room() bool { return float64(w.Requests.Load()) < w.Limit() }
 
+// Running returns the requests in flight, as far as this VM knows.
+func (w *Work) Running() int64 { return w.Requests.Load() + w.OtherRequests.Load() }
+
+// Unread returns the prompt tokens that are not read yet, as far as this VM knows.
+func (w *Work) Unread() id.Tokens { return id.Tokens(w.Reading.Load() + w.OtherReading.Load()) }
+
 // Learn adapts the limit to whether an answer met the service level: additive increase, multiplicative decrease (Chiu
 // and Jain 1989), doubling until the first decrease. A limit that is not in use does not grow.
 func (w *Work) Learn(now time.Duration, good bool) {
