--- a/internal/modules/id/id.go
+++ b/internal/modules/id/id.go
@@ -1,13 +1,15 @@
 // Package id holds the named types for identifiers and units that all layers share.
 package id
 
-// VM names one entry VM of the fleet.
+import "time"
+
+// VM names one VM of the fleet.
 type VM string
 
 // Zone names one data centre.
 type Zone string
 
-// Customer names one tenant.
+// Customer names one customer.
 type Customer string
 
 // Service names one model service or plain service.
@@ -40,5 +42,8 @@
 // Window numbers the usage windows since the Unix epoch.
 type Window uint64
 
+// WindowAt returns the window of this length that t falls into.
+func WindowAt(t time.Time, length time.Duration) Window { return Window(t.UnixNano() / int64(length)) }
+
 // Tokens counts prompt tokens, generated tokens or both.
 type Tokens int64
--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -350,15 +350,18 @@
 
 // Found makes s the start of an empty log. A log that holds something stays as it is.
 func (r *Replica[R]) Found(ctx context.Context, s quorum.Snapshot) error {
-	ch := make(chan error, 1)
-	err := r.do(ctx, func(now time.Duration) {
+	return r.ask(ctx, func(now time.Duration) error {
 		if r.core.Last() > 0 {
-			ch <- nil
-			return
+			return nil
 		}
-		ch <- r.begin(now, s)
+		return r.begin(now, s)
 	})
-	if err != nil {
+}
+
+// ask has f done in the core's thread and returns its error.
+func (r *Replica[R]) ask(ctx context.Context, f func(now time.Duration) error) error {
+	ch := make(chan error, 1)
+	if err := r.do(ctx, func(now time.Duration) { ch <- f(now) }); err != nil {
 		return err
 	}
 	select {
@@ -421,20 +424,10 @@
 
 // ProposeMembers asks for a membership change without waiting for it.
 func (r *Replica[R]) ProposeMembers(ctx context.Context, m quorum.Members) error {
-	ch := make(chan error, 1)
-	err := r.do(ctx, func(now time.Duration) {
+	return r.ask(ctx, func(now time.Duration) error {
 		_, err := r.core.ProposeMembers(now, m)
-		ch <- err
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case err := <-ch:
 		return err
-	case <-r.done:
-		return ErrStopped
-	}
+	})
 }
 
 // Read waits until everything that was committed before the call is applied here. Only a leader can answer.
--- a/internal/modules/upstream/client.go
+++ b/internal/modules/upstream/client.go
@@ -41,7 +41,7 @@
 
 // New returns a client. It follows no redirects, uses no proxy and asks for no compression.
 func New() *Client {
-	d := &net.Dialer{Timeout: dialTimeout, Control: control}
+	d := &net.Dialer{Timeout: dialTimeout, Control: GiveUpAfter(userTimeout)}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
@@ -61,16 +61,18 @@
 	}}
 }
 
-// control sets the socket options that bound how long the kernel keeps unsent bytes.
-func control(_, _ string, c syscall.RawConn) error {
-	var err error
-	cerr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if cerr != nil {
-		return cerr
+// GiveUpAfter returns a dialer's control that bounds how long the kernel keeps bytes that are not acknowledged.
+func GiveUpAfter(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		cerr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if cerr != nil {
+			return cerr
+		}
+		return err
 	}
-	return err
 }
 
 // Do sends r. Sent is false only where no byte of r was handed to a socket.
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -269,7 +269,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*link, error) {
-	d := &net.Dialer{Timeout: poolDial, Control: control, KeepAliveConfig: net.KeepAliveConfig{
+	d := &net.Dialer{Timeout: poolDial, Control: GiveUpAfter(userTimeout), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount,
 	}}
 	c, err := d.DialContext(ctx, "tcp", address)
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -47,7 +47,7 @@
 		Config: a.Config, Guard: a, Limiter: v.limiter, Roster: v.roster, Upstreams: &platform.Upstreams{Pool: p.pool},
 		Meter: v.meter, Quarantine: v.refused, Crashed: v.tellCrashed, Zone: a.Zone(), Members: v.entries,
 		Window: func(now time.Duration) id.Window {
-			return id.Window(a.Wall(now).UnixNano() / int64(v.cfg.Bill.Window))
+			return id.WindowAt(a.Wall(now), v.cfg.Bill.Window)
 		},
 		Orders:  a.State().Latest,
 		Retries: forward.Retries{Part: retryMargin * v.cfg.Route.Retries.Part, Burst: retryMargin * v.cfg.Route.Retries.Burst},
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -339,7 +339,7 @@
 	if errors.As(err, &r) {
 		outcome = string(r.Code)
 	}
-	metrics.GetOrCreateCounter(`wagtaillift_requests_total{service="` + string(c.Service.ID) + `",outcome="` + outcome + `"}`).Inc()
+	countOutcome(string(c.Service.ID), outcome)
 }
 
 // face is one listener; without an address it is not served.
--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -18,6 +18,7 @@
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/pause"
 )
 
 // Timing is how long an engine's steps take.
@@ -282,19 +283,11 @@
 }
 
 func (e *Engine) reportLoop(ctx context.Context) {
-	lag := max(e.opt.Lag, drainPoll)
-	t := time.NewTicker(lag)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	pause.Each(ctx, max(e.opt.Lag, drainPoll), func() {
 		e.mu.Lock()
 		e.load = e.loadNow()
 		e.mu.Unlock()
-	}
+	})
 }
 
 func (e *Engine) loadNow() engine.Load {
--- a/internal/services/order/order.go
+++ b/internal/services/order/order.go
@@ -284,12 +284,11 @@
 }
 
 func (s *Service) find(u id.Upstream) (engine.Announcement, bool) {
-	for _, x := range s.opt.Roster.Snapshot().All {
-		if x.Name == u {
-			return x.Announcement, true
-		}
+	x, ok := s.opt.Roster.Snapshot().Find(u)
+	if !ok {
+		return engine.Announcement{}, false
 	}
-	return engine.Announcement{}, false
+	return x.Announcement, true
 }
 
 // finishPending settles orders whose outcome is not known. It first waits until no earlier holder can still write, and
--- a/internal/services/order/send.go
+++ b/internal/services/order/send.go
@@ -8,16 +8,15 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/upstream"
 )
 
 const (
@@ -56,16 +55,7 @@
 
 // NewSender returns a sender.
 func NewSender() *Sender {
-	d := &net.Dialer{Timeout: sendTimeout, Control: func(_, _ string, c syscall.RawConn) error {
-		var err error
-		cerr := c.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(lingerBound.Milliseconds()))
-		})
-		if cerr != nil {
-			return cerr
-		}
-		return err
-	}}
+	d := &net.Dialer{Timeout: sendTimeout, Control: upstream.GiveUpAfter(lingerBound)}
 	t := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/services/order/usage.go
+++ b/internal/services/order/usage.go
@@ -16,17 +16,12 @@
 // sealDelay is how long after its end a window is sealed, so that the last counts of its requests are in.
 const sealDelay = 3 * time.Second
 
-// windowAt returns the window that t falls into.
-func windowAt(t time.Time, length time.Duration) id.Window {
-	return id.Window(t.UnixNano() / int64(length))
-}
-
 // mostSeals is how many windows are sealed in one go: more than a change of the holder takes.
 const mostSeals = 12
 
 // seal fixes the figures of the windows that have ended.
 func (s *Service) seal(ctx context.Context, h Hold) {
-	ended := windowAt(s.opt.Now(clock.Boot()).Add(-s.opt.Delay), s.opt.Window) - 1
+	ended := id.WindowAt(s.opt.Now(clock.Boot()).Add(-s.opt.Delay), s.opt.Window) - 1
 	next := ended
 	if list := s.opt.Authority.State().Reports(); len(list) > 0 {
 		next = max(list[len(list)-1].Window+1, ended-min(ended, mostSeals))
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -173,12 +173,17 @@
 }
 
 func (g *Gossip) ask(ctx context.Context, m state.Member) {
+	epoch, version := g.Roster.Known(m.VM)
+	g.fetch(ctx, m, methodWord, summary{VM: g.VM, Epoch: epoch, Version: version})
+}
+
+// fetch takes the word of one VM.
+func (g *Gossip) fetch(ctx context.Context, m state.Member, method string, s summary) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	epoch, version := g.Roster.Known(m.VM)
-	v, err := peer.Call[Vouch](ctx, g.Transport, m.Peer, methodWord, summary{VM: g.VM, Epoch: epoch, Version: version})
+	v, err := peer.Call[Vouch](ctx, g.Transport, m.Peer, method, s)
 	if err != nil || v.VM != m.VM {
-		klog.V(1).InfoS("Roster not renewed", "peer", m.Peer, "err", err)
+		klog.V(1).InfoS("Roster not fetched", "peer", m.Peer, "method", method, "err", err)
 		return
 	}
 	g.Roster.Hear(clock.Boot(), v)
@@ -229,23 +234,11 @@
 			continue
 		}
 		if m, ok := members[s.VM]; ok {
-			go g.pull(ctx, m)
+			go g.fetch(ctx, m, methodPull, summary{VM: g.VM})
 		}
 	}
 }
 
-// pull takes the list of one VM.
-func (g *Gossip) pull(ctx context.Context, m state.Member) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	v, err := peer.Call[Vouch](ctx, g.Transport, m.Peer, methodPull, summary{VM: g.VM})
-	if err != nil || v.VM != m.VM {
-		klog.V(1).InfoS("Roster not pulled", "peer", m.Peer, "err", err)
-		return
-	}
-	g.Roster.Hear(clock.Boot(), v)
-}
-
 // flood tells this VM's word to every VM of the data centre.
 func (g *Gossip) flood(ctx context.Context) {
 	for vm, m := range g.Members() {
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -44,6 +44,16 @@
 	All      []*Upstream
 }
 
+// Find returns n where it takes new work.
+func (s *Snapshot) Find(n id.Upstream) (*Upstream, bool) {
+	for _, u := range s.All {
+		if u.Name == n {
+			return u, true
+		}
+	}
+	return nil, false
+}
+
 // Vouch is what a VM tells the others of its data centre about the upstreams that announce themselves to it.
 type Vouch struct {
 	VM      id.VM                 `cbor:"1,keyasint"`
@@ -165,7 +175,7 @@
 	a := engine.Announcement{Name: n, Incarnation: inc}
 	if known {
 		a = h.announcement
-	} else if u, ok := r.find(n); ok {
+	} else if u, ok := r.Snapshot().Find(n); ok {
 		a = u.Announcement
 	}
 	a.State, a.Sequence = engine.Leaving, math.MaxUint64
@@ -177,16 +187,6 @@
 	r.changed()
 }
 
-// find returns n where it takes new work.
-func (r *Roster) find(n id.Upstream) (*Upstream, bool) {
-	for _, u := range r.current.Load().All {
-		if u.Name == n {
-			return u, true
-		}
-	}
-	return nil, false
-}
-
 // memory returns how long an announcement is kept without another one.
 func (r *Roster) memory(a engine.Announcement) time.Duration {
 	if a.State == engine.Leaving {
