--- a/internal/routers/vm/admin_test.go
+++ b/internal/routers/vm/admin_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,20 +19,10 @@
 
 // admin sends one request to the administration API and decodes the answer.
 func (f *fleet) admin(v *VM, secret, method, path, body string, head ...string) (int, map[string]any) {
-	r, err := http.NewRequest(method, v.OperatorURL()+"/api/v1/"+path, strings.NewReader(body))
-	require.NoError(f.t, err)
-	r.Header.Set("Authorization", "Bearer "+secret)
-	for i := 0; i+1 < len(head); i += 2 {
-		r.Header.Set(head[i], head[i+1])
-	}
-	resp, err := http.DefaultClient.Do(r)
-	require.NoError(f.t, err)
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	require.NoError(f.t, err)
+	resp, data := f.exchange(method, v.OperatorURL()+"/api/v1/"+path, secret, body, head...)
 	var out map[string]any
-	if err := json.Unmarshal(data, &out); err != nil {
-		out = map[string]any{"list": string(data)}
+	if err := json.Unmarshal([]byte(data), &out); err != nil {
+		out = map[string]any{"list": data}
 	}
 	return resp.StatusCode, out
 }
--- a/internal/routers/vm/fleet_test.go
+++ b/internal/routers/vm/fleet_test.go
@@ -249,7 +249,11 @@
 
 // do sends one request and returns the answer with its body.
 func (f *fleet) do(v *VM, method, path, secret, body string, head ...string) (*http.Response, string) {
-	r, err := http.NewRequest(method, v.CallerURL()+path, strings.NewReader(body))
+	return f.exchange(method, v.CallerURL()+path, secret, body, head...)
+}
+
+func (f *fleet) exchange(method, url, secret, body string, head ...string) (*http.Response, string) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	require.NoError(f.t, err)
 	if secret != "" {
 		r.Header.Set("Authorization", "Bearer "+secret)
--- a/internal/routers/vm/roles.go
+++ b/internal/routers/vm/roles.go
@@ -18,32 +18,39 @@
 	"wagtaillift/internal/services/tally"
 )
 
-// planEvery is how often roles are looked at: a fraction of the time that a change takes.
+// planEvery is how often roles and numbers of engines are looked at: a fraction of the time that a change takes.
 const planEvery = 500 * time.Millisecond
 
-// planner remembers the changes that this VM ordered.
-type planner struct {
-	changed map[id.Upstream]time.Duration
-	last    map[id.Service]time.Duration
-}
-
-// planRoles orders changes of engines' roles while this VM may, until ctx ends.
-func (v *VM) planRoles(ctx context.Context) {
-	p := planner{changed: map[id.Upstream]time.Duration{}, last: map[id.Service]time.Duration{}}
+// plan calls f for every service, with the work of all VMs, whenever this VM may act, until ctx ends.
+func (v *VM) plan(ctx context.Context, what string, may func(now time.Duration) bool, f func(now time.Duration, s service.Service, t tally.Totals)) {
 	pause.Each(ctx, planEvery, func() {
 		now := clock.Boot()
-		if !v.orders.Orders(now) || v.stopping.Load() {
+		if !may(now) || v.stopping.Load() {
 			return
 		}
 		t, err := v.platform.tally.Totals(ctx)
 		if err != nil {
-			klog.V(1).InfoS("Roles not planned", "err", err)
+			klog.V(1).InfoS("Not planned", "what", what, "err", err)
 			return
 		}
 		for _, s := range v.authority.Config().Services {
-			if s.Engine != nil {
-				v.planService(ctx, now, &p, s, t)
-			}
+			f(now, s, t)
+		}
+	})
+}
+
+// planner remembers the changes that this VM ordered.
+type planner struct {
+	changed map[id.Upstream]time.Duration
+	last    map[id.Service]time.Duration
+}
+
+// planRoles orders changes of engines' roles while this VM may, until ctx ends.
+func (v *VM) planRoles(ctx context.Context) {
+	p := planner{changed: map[id.Upstream]time.Duration{}, last: map[id.Service]time.Duration{}}
+	v.plan(ctx, "roles", v.orders.Orders, func(now time.Duration, s service.Service, t tally.Totals) {
+		if s.Engine != nil {
+			v.planService(ctx, now, &p, s, t)
 		}
 	})
 }
--- a/internal/routers/vm/scale.go
+++ b/internal/routers/vm/scale.go
@@ -10,9 +10,7 @@
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/service"
-	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
-	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/services/order"
 	"wagtaillift/internal/services/roster"
 	"wagtaillift/internal/services/scale"
@@ -20,7 +18,6 @@
 )
 
 const (
-	scaleEvery  = 500 * time.Millisecond
 	needMemory  = 10 * time.Second        // the need is the greatest of this time: upstreams take seconds to come
 	dryFor      = 3 * time.Second         // before upstreams that were not to be had are asked for again
 	resendAfter = 3 * time.Second         // beyond an upstream's start, where fewer run than were ordered
@@ -59,20 +56,9 @@
 		sent: map[order.Number]ordered{}, dry: map[order.Number]time.Duration{}, lower: map[order.Number]time.Duration{},
 		needs: map[id.Service][]needAt{}, first: map[id.Service]time.Duration{}, base: map[id.Service]int{},
 	}
-	pause.Each(ctx, scaleEvery, func() {
-		now := clock.Boot()
-		if !v.orders.Platform(now) || v.stopping.Load() {
-			return
-		}
-		t, err := v.platform.tally.Totals(ctx)
-		if err != nil {
-			klog.V(1).InfoS("Upstreams not planned", "err", err)
-			return
-		}
-		for _, svc := range v.authority.Config().Services {
-			if svc.Scale != nil {
-				v.scaleService(ctx, now, &s, svc, t)
-			}
+	v.plan(ctx, "upstreams", v.orders.Platform, func(now time.Duration, svc service.Service, t tally.Totals) {
+		if svc.Scale != nil {
+			v.scaleService(ctx, now, &s, svc, t)
 		}
 	})
 }
--- a/internal/services/authority/leader_test.go
+++ b/internal/services/authority/leader_test.go
@@ -19,15 +19,22 @@
 	a.feed.Publish()
 }
 
-// A VM that joins a leader of long standing reports only after it has joined. It must not be removed before.
-func TestJoinedVMHasALeaseToReport(t *testing.T) {
+const at = time.Minute // of the first look at the members
+
+// joined returns a leader of long standing that has just seen vm2 among the members.
+func joined(t *testing.T) (*Authority, *leader) {
+	t.Helper()
 	a, err := New(Options{VM: "vm1", Timing: Timing{Lease: 3 * time.Second}})
 	require.NoError(t, err)
-	l := a.leader
-	l.reset(time.Second)
-	at := time.Minute
+	a.leader.reset(time.Second)
 	join(t, a, 1, "vm2", 7)
-	require.Empty(t, l.dead(at))
+	require.Empty(t, a.leader.dead(at))
+	return a, a.leader
+}
+
+// A VM that joins a leader of long standing reports only after it has joined. It must not be removed before.
+func TestJoinedVMHasALeaseToReport(t *testing.T) {
+	a, l := joined(t)
 	require.Empty(t, l.dead(at+2*time.Second))
 	dead := l.dead(at + 4*time.Second)
 	require.Len(t, dead, 1)
@@ -39,13 +46,7 @@
 
 // A VM that was removed while it was cut off joins again with the incarnation that it had.
 func TestRemovedVMJoinsAgain(t *testing.T) {
-	a, err := New(Options{VM: "vm1", Timing: Timing{Lease: 3 * time.Second}})
-	require.NoError(t, err)
-	l := a.leader
-	l.reset(time.Second)
-	at := time.Minute
-	join(t, a, 1, "vm2", 7)
-	require.Empty(t, l.dead(at))
+	_, l := joined(t)
 	require.Len(t, l.dead(at+4*time.Second), 1)
 	require.Empty(t, l.dead(at+5*time.Second), "it had no time to report since it joined again")
 }
--- a/internal/services/emulate/http.go
+++ b/internal/services/emulate/http.go
@@ -274,10 +274,18 @@
 // pieceBytes is the size of one KV piece.
 const pieceBytes = 2 << 20
 
-func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
-	var q kv
+// readKV reads the KV cache that r names; where it cannot, the answer is written.
+func readKV(w http.ResponseWriter, r *http.Request) (q kv, ok bool) {
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
+		return q, false
+	}
+	return q, true
+}
+
+func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
+	q, ok := readKV(w, r)
+	if !ok {
 		return
 	}
 	e.mu.Lock()
@@ -293,9 +301,8 @@
 }
 
 func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
-	var q kv
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	q, ok := readKV(w, r)
+	if !ok {
 		return
 	}
 	e.mu.Lock()
