A wiped disk is taken in through any control VM; a relay that lags is left

Its enrolment came to the leader through another control VM and was refused there, because the leader compared the disk's VM with the VM that passed the call on ("enrolment of core-bunbury-1/… from core-perth-north-1", every 0.5 s until the end). It stayed without entries; yet its feed answered every follower with "nothing new", and passed their reports on, so that all six entry VMs kept to it, got grants for an index that it never had, and served nothing. Ruled out: a change of voters (none in the logs), the transport (its own calls came through), the disk (no failure logged), the replication (the leader's list of members did not have the new disk).

Change: an enrolment that was passed on counts where a member of the log passed it on, and takes the place of the earlier disk of the same VM. A VM without state refuses to feed others. A follower leaves a relay that brings nothing although the leader has named a later index, and comes back once the relay has applied it. A learner forgets a silent leader, as voters do.

--- a/internal/modules/quorum/election.go
+++ b/internal/modules/quorum/election.go
@@ -5,10 +5,11 @@
 // campaign starts the pre-vote round.
 func (c *Core) campaign(now time.Duration) {
 	c.resetDeadline(now)
+	c.leader = ""
 	if !c.Members().Voter(c.opt.Self) {
 		return
 	}
-	c.role, c.leader = PreCandidate, ""
+	c.role = PreCandidate
 	c.votes = map[Node]bool{c.opt.Self: true}
 	if c.won() {
 		c.startVote(now, false)
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -71,6 +71,7 @@
 	onCounted func([]usage.Reading)
 	seeds     rcu.Value[[]string]
 	report    chan struct{}
+	named     atomic.Uint64 // highest index that the leader has named in a grant
 	undrawn   atomic.Int64  // when a draw reached no leader, by clock.Boot; zero once one has
 	told      time.Duration // when usage was reported last; used by the report loop alone
 
--- a/internal/services/authority/authority_test.go
+++ b/internal/services/authority/authority_test.go
@@ -30,6 +30,7 @@
 	name    string
 	control bool
 	address string
+	seeds   []string // empty stands for the control VMs of the group
 	a       *Authority
 	stop    func()
 }
@@ -83,13 +84,19 @@
 	return "zone0"
 }
 
-func (g *group) start(n *node) {
-	folder := g.path(n.name + "-cert")
-	require.NoError(g.t, cert.NewVM(g.path("ca"), folder, id.VM(n.name), g.zone(n), time.Now(), time.Hour))
+// transport listens at address as the VM called name.
+func (g *group) transport(name, address string, zone id.Zone) *peer.Transport {
+	folder := g.path(name + "-cert")
+	require.NoError(g.t, cert.NewVM(g.path("ca"), folder, id.VM(name), zone, time.Now(), time.Hour))
 	store, err := cert.Load(folder)
 	require.NoError(g.t, err)
-	tr, err := peer.New(n.address, store)
+	tr, err := peer.New(address, store)
 	require.NoError(g.t, err)
+	return tr
+}
+
+func (g *group) start(n *node) {
+	tr := g.transport(n.name, n.address, g.zone(n))
 	n.address = tr.Address()
 	g.inc++
 	opt := Options{
@@ -98,11 +105,13 @@
 	if n.control {
 		opt.Folder = g.path(n.name)
 	}
+	opt.Seeds = n.seeds
 	for _, other := range g.nodes {
-		if other != n && other.control {
+		if len(n.seeds) == 0 && other != n && other.control {
 			opt.Seeds = append(opt.Seeds, other.address)
 		}
 	}
+	var err error
 	n.a, err = New(opt)
 	require.NoError(g.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -100,7 +100,7 @@
 		if s.Leader != "" && s.Leader != a.node {
 			return a.address(s.Leader)
 		}
-		if s.Leader == "" && s.Members.Has(a.node) {
+		if s.Leader == "" && s.Members.Voter(a.node) {
 			return "", false
 		}
 	}
@@ -160,10 +160,12 @@
 	}
 }
 
-// followFrom follows to until a call fails and reports whether any call succeeded.
+// followFrom follows to until a call fails, to lags behind the leader or a better relay is there. It reports whether to
+// start with the best relay again; false stands for going on with the next one.
 func (a *Authority) followFrom(ctx context.Context, to string) bool {
 	worked := false
 	for ctx.Err() == nil {
+		named := a.named.Load()
 		call, cancel := context.WithTimeout(ctx, a.timing.feedWait()+a.timing.feedSlack())
 		r, err := peer.Call[feedAnswer](call, a.opt.Transport, to, methodFeed, feedRequest{After: a.feed.Index()})
 		cancel()
@@ -181,19 +183,23 @@
 			worked = true
 			a.ReportSoon()
 		}
-		if best := a.candidates(); len(best) > 0 && best[0] != to && a.reachable(ctx, best[0]) {
+		if r.none() && uint64(a.feed.Index()) < named {
+			klog.InfoS("Feed left: it lags behind the leader", "peer", to, "index", a.feed.Index(), "leader", named)
+			return false
+		}
+		if best := a.candidates(); len(best) > 0 && best[0] != to && a.upToDate(ctx, best[0]) {
 			return worked
 		}
 	}
 	return worked
 }
 
-// reachable reports whether the relay at to is up to date with this VM.
-func (a *Authority) reachable(ctx context.Context, to string) bool {
+// upToDate reports whether the relay at to has applied what this VM has, and what the leader has named to it.
+func (a *Authority) upToDate(ctx context.Context, to string) bool {
 	call, cancel := context.WithTimeout(ctx, a.timing.call())
 	defer cancel()
-	i, err := peer.Call[freshAnswer](call, a.opt.Transport, to, methodFresh, freshRequest{})
-	return err == nil && i.Index >= a.feed.Index()
+	r, err := peer.Call[freshAnswer](call, a.opt.Transport, to, methodApplied, empty{})
+	return err == nil && uint64(r.Index) >= max(uint64(a.feed.Index()), a.named.Load())
 }
 
 func (a *Authority) absorb(r feedAnswer) error {
@@ -243,10 +249,10 @@
 			_, err := peer.Call[empty](call, a.opt.Transport, to, methodEnroll, q)
 			cancel()
 			if err == nil {
-				klog.V(1).InfoS("Disk enrolled", "node", a.node, "peer", to)
+				klog.InfoS("Disk enrolled", "node", a.node, "peer", to)
 				break
 			}
-			klog.V(1).InfoS("Enrolment failed", "peer", to, "err", err)
+			klog.InfoS("Enrolment failed", "peer", to, "err", err)
 		}
 		pause.For(ctx, a.timing.feedWait())
 	}
--- a/internal/services/authority/handle.go
+++ b/internal/services/authority/handle.go
@@ -28,6 +28,9 @@
 	peer.Handle(t, methodWithdraw, a.onWithdraw)
 	peer.Handle(t, methodReports, func(ctx context.Context, _ id.VM, _ empty) ([]usage.Report, error) { return a.Reports(ctx) })
 	peer.Handle(t, methodDraw, func(ctx context.Context, _ id.VM, q drawRequest) (drawAnswer, error) { return a.draw(ctx, q) })
+	peer.Handle(t, methodApplied, func(context.Context, id.VM, empty) (freshAnswer, error) {
+		return freshAnswer{Index: a.feed.Index()}, nil
+	})
 	peer.Handle(t, methodFresh, func(ctx context.Context, _ id.VM, q freshRequest) (freshAnswer, error) {
 		i, err := a.fresh(ctx, q)
 		return freshAnswer{Index: i}, err
@@ -91,12 +94,15 @@
 }
 
 func (a *Authority) onFeed(ctx context.Context, _ id.VM, q feedRequest) (feedAnswer, error) {
+	if a.feed.Index() == 0 {
+		return feedAnswer{}, errors.New("this VM has no state yet")
+	}
 	timer := time.NewTimer(a.timing.feedWait())
 	defer timer.Stop()
 	for {
 		changed := a.feed.wait()
 		r, err := a.feed.after(q.After)
-		if err != nil || len(r.Items) > 0 || len(r.Snapshot) > 0 {
+		if err != nil || !r.none() {
 			return r, err
 		}
 		select {
@@ -123,13 +129,26 @@
 }
 
 func (a *Authority) onEnroll(ctx context.Context, from id.VM, q enrollment) (empty, error) {
-	if nodeVM(q.Node) != from {
+	if nodeVM(q.Node) != from && !(q.Hops > 0 && a.inLog(from)) {
 		return empty{}, errors.Errorf("enrolment of %s from %s", q.Node, from)
 	}
 	a.addresses.Store(q.Node, q.Address)
 	return empty{}, a.enrol(ctx, q)
 }
 
+// inLog reports whether a disk of vm is a member of the log here: such a VM may pass on what it has authenticated.
+func (a *Authority) inLog(vm id.VM) bool {
+	s, ok := a.Status()
+	if !ok {
+		return false
+	}
+	if _, ok := sameVM(s.Members.Voters, vm); ok {
+		return true
+	}
+	_, ok = sameVM(s.Members.Learners, vm)
+	return ok
+}
+
 // enrol adds a disk to the log as a learner, where this VM leads, else passes the request on.
 func (a *Authority) enrol(ctx context.Context, q enrollment) error {
 	if a.replica != nil && a.replica.Status().Leading {
@@ -137,7 +156,7 @@
 		if s.Members.Has(q.Node) {
 			return nil
 		}
-		return a.replica.ProposeMembers(ctx, s.Members.With(q.Node, false))
+		return a.replica.ProposeMembers(ctx, enlisted(s.Members, q.Node))
 	}
 	to, ok := a.upstream()
 	if !ok || q.Hops >= maxHops {
@@ -149,6 +168,14 @@
 	return ErrNoQuorum
 }
 
+// enlisted returns m with n as a learner in the place of an earlier learner of the same VM, whose disk is gone.
+func enlisted(m quorum.Members, n quorum.Node) quorum.Members {
+	if old, ok := sameVM(m.Learners, nodeVM(n)); ok {
+		m = m.Without(old)
+	}
+	return m.With(n, false)
+}
+
 // enrolAt passes on an enrolment that this VM has authenticated.
 func (a *Authority) enrolAt(ctx context.Context, to string, q enrollment) error {
 	q.Hops++
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -387,7 +387,7 @@
 		if s.Matches[n] == 0 || s.Matches[n]+caughtUp < s.Commit {
 			continue
 		}
-		if old, ok := sameVM(s.Members.Voters, n); ok {
+		if old, ok := sameVM(s.Members.Voters, nodeVM(n)); ok {
 			return s.Members.Without(old), true
 		}
 		if len(s.Members.Voters) < l.a.opt.Voters {
@@ -400,9 +400,10 @@
 	return s.Members, false
 }
 
-func sameVM(list []quorum.Node, n quorum.Node) (quorum.Node, bool) {
+// sameVM returns the disk of vm in list.
+func sameVM(list []quorum.Node, vm id.VM) (quorum.Node, bool) {
 	for _, x := range list {
-		if nodeVM(x) == nodeVM(n) {
+		if nodeVM(x) == vm {
 			return x, true
 		}
 	}
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -21,6 +21,7 @@
 	methodWithdraw = "withdraw"
 	methodDraw     = "draw"
 	methodFresh    = "fresh"
+	methodApplied  = "applied"
 	methodReports  = "reports"
 	methodWho      = "who"
 )
@@ -43,6 +44,9 @@
 	Upto     id.Index `cbor:"3,keyasint,omitempty"`
 }
 
+// none reports whether r carries nothing.
+func (r feedAnswer) none() bool { return len(r.Snapshot) == 0 && len(r.Items) == 0 }
+
 // item is one applied entry.
 type item struct {
 	Index id.Index `cbor:"1,keyasint"`
@@ -148,6 +152,7 @@
 	Hops int `cbor:"1,keyasint,omitempty"`
 }
 
+// freshAnswer carries an index: what a linearizable read must wait for, or what a VM has applied.
 type freshAnswer struct {
 	Index id.Index `cbor:"1,keyasint"`
 }
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -99,7 +99,12 @@
 		a.ReportSoon()
 		return
 	}
-	if g.Duration == 0 || a.await(ctx, g.Index) != nil {
+	if g.Duration == 0 {
+		return
+	}
+	a.named.Store(max(a.named.Load(), uint64(g.Index)))
+	if err := a.await(ctx, g.Index); err != nil {
+		klog.InfoS("Grant not taken: its index is not applied here", "vm", a.opt.VM, "index", g.Index, "applied", a.feed.Index())
 		return
 	}
 	end := lease.HeldUntil(g.Sent, g.Duration)
