Rosters travel as changes, VMs ask one relay for the versions, the hub of loads adds up as it hears

Cause, by counting the calls between VMs: a change at a control VM told every VM a version, was answered "lacking" and sent the whole list again (7.0 MB/s from one control VM, 28 MB/s in all); every VM asked all six control VMs for their version twice a second (172 calls/s at each); the hub added up 83 VMs x 140 engines at each of 660 exchanges a second. Ruled out: requests (9.4 a second and VM), the choice of an engine (10 us at 700 engines), the feed (3 calls/s a VM).

The hub keeps its sums.

Tests: TestVouchingAgainstNaive with changes and drops, TestChangesOnly, TestDroppedAreForgottenAtABound, TestRelayedWordsAgeOnTheWay, TestAtRestOneCallIsEnough, TestChangesReachEveryVM, TestNearest, TestHubAgainstNaive, TestPlacementsReachTheOthersOnce.

--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -3,38 +3,37 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
 )
 
 const (
-	methodVouch = "vouch"
-	methodTable = "table"
-	methodPull  = "pull"
-	methodWord  = "word"
-	vouchEvery  = 500 * time.Millisecond
-	expireEvery = 250 * time.Millisecond
-	callTimeout = time.Second
-	tableMemory = 2 * time.Second // how long a relay passes a VM's word on
+	methodVouch  = "vouch"
+	methodTable  = "table"
+	methodWord   = "word"
+	vouchEvery   = 500 * time.Millisecond
+	floodEvery   = 50 * time.Millisecond // least time between two rounds of changes: engines change in numbers
+	relayedAge   = 2 * vouchEvery        // from which on a word through the relay is too old: the VM itself is asked
+	expireEvery  = 250 * time.Millisecond
+	callTimeout  = time.Second
+	relayTimeout = 200 * time.Millisecond // then every control VM is asked, inside the time that a word holds
+	tableMemory  = 2 * time.Second        // how long a relay passes a VM's word on
 )
 
-// vouchAnswer says whether the full list is needed.
+// vouchAnswer says whether the receiver lacks more than it was told, and which list it has.
 type vouchAnswer struct {
-	Lacking bool `cbor:"1,keyasint,omitempty"`
-}
-
-// summary is a VM's word without its list.
-type summary struct {
-	VM      id.VM  `cbor:"1,keyasint"`
-	Epoch   uint64 `cbor:"2,keyasint"`
-	Version uint64 `cbor:"3,keyasint"`
+	Lacking bool   `cbor:"1,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // tableAnswer is the latest word of every VM that the relay has heard lately.
@@ -73,43 +72,41 @@
 }
 
 // Gossip exchanges the rosters of the VMs of one data centre. At rest each VM tells its relay the version of its list
-// and gets everyone's back, so that the cost does not grow with the square of the VMs. A change goes to every VM at
-// once. While the relay does not answer, so does the version.
+// and gets everyone's back, so that the cost does not grow with the square of the VMs. Changes go to every VM at once, those
+// of floodEvery together. While the relay does not answer, so does the version.
 type Gossip struct {
 	Roster    *Roster
 	Transport *peer.Transport
 	Members   func() map[id.VM]state.Member
 	VM        id.VM
 	Zone      id.Zone
-	// Wide exchanges rosters over all data centres: upstreams announce themselves to control VMs, and every VM asks each
-	// of these for its list.
+	// Wide exchanges rosters over all data centres: upstreams announce themselves to control VMs. These ask each other for
+	// their lists, and every other VM asks one of them which lists there are.
 	Wide  bool
 	table Table
 	wake  chan struct{}
+	told  atomic.Uint64 // version of the own list that has gone to every VM
 }
 
 // Register answers the other VMs. It comes before the transport serves.
 func (g *Gossip) Register() {
 	g.wake = make(chan struct{}, 1)
 	peer.Handle(g.Transport, methodVouch, func(_ context.Context, from id.VM, v Vouch) (vouchAnswer, error) {
-		if v.VM != from {
+		if v.VM != from || g.Roster.Hear(clock.Boot(), v) {
 			return vouchAnswer{}, nil
 		}
-		return vouchAnswer{Lacking: !g.Roster.Hear(clock.Boot(), v)}, nil
+		epoch, version := g.Roster.Known(from)
+		return vouchAnswer{Lacking: true, Epoch: epoch, Version: version}, nil
 	})
 	peer.Handle(g.Transport, methodTable, func(_ context.Context, from id.VM, s summary) (tableAnswer, error) {
+		if g.Wide {
+			return tableAnswer{List: g.Roster.Words(clock.Boot())}, nil
+		}
 		s.VM = from
 		return tableAnswer{List: g.table.exchange(clock.Boot(), s)}, nil
 	})
-	peer.Handle(g.Transport, methodPull, func(context.Context, id.VM, summary) (Vouch, error) {
-		return g.Roster.Vouch(true), nil
-	})
 	peer.Handle(g.Transport, methodWord, func(_ context.Context, _ id.VM, s summary) (Vouch, error) {
-		v := g.Roster.Vouch(false)
-		if v.Epoch != s.Epoch || v.Version != s.Version {
-			v = g.Roster.Vouch(true)
-		}
-		return v, nil
+		return g.Roster.Since(s.Epoch, s.Version), nil
 	})
 }
 
@@ -133,7 +130,10 @@
 		case <-expire.C:
 			g.Roster.Expire(clock.Boot())
 		case <-g.wake:
-			g.flood(ctx)
+			if v := g.changes(); v.Full || v.Since > 0 {
+				g.flood(ctx, v)
+			}
+			pause.For(ctx, floodEvery)
 		}
 	}
 }
@@ -142,13 +142,13 @@
 func (g *Gossip) refresh(ctx context.Context) {
 	if g.Wide {
 		g.askUntilKnown(ctx)
-		pause.Each(ctx, vouchEvery, func() { g.askAll(ctx) })
+		pause.Each(ctx, vouchEvery, func() { g.askWide(ctx) })
 		return
 	}
 	pause.Each(ctx, vouchEvery, func() {
 		if err := g.exchange(ctx); err != nil {
 			klog.V(1).InfoS("Relay does not answer", "err", err)
-			g.flood(ctx)
+			g.flood(ctx, g.changes())
 		}
 	})
 }
@@ -165,25 +165,82 @@
 
 // askAll asks every control VM for its list, where this VM lacks it.
 func (g *Gossip) askAll(ctx context.Context) {
+	for _, m := range g.control() {
+		go g.ask(ctx, m)
+	}
+}
+
+// control returns the other control VMs.
+func (g *Gossip) control() []state.Member {
+	var list []state.Member
 	for vm, m := range g.Members() {
 		if m.Control && vm != g.VM {
-			go g.ask(ctx, m)
+			list = append(list, m)
 		}
 	}
+	return list
 }
 
-func (g *Gossip) ask(ctx context.Context, m state.Member) {
-	epoch, version := g.Roster.Known(m.VM)
-	g.fetch(ctx, m, methodWord, summary{VM: g.VM, Epoch: epoch, Version: version})
+// askWide renews the words of the control VMs: a control VM asks each, another VM one of them and only those whose word
+// that one has not heard lately.
+func (g *Gossip) askWide(ctx context.Context) {
+	members := g.Members()
+	if members[g.VM].Control {
+		g.askAll(ctx)
+		return
+	}
+	list := g.control()
+	relay, ok := nearest(list, g.VM, g.Zone)
+	if !ok {
+		return
+	}
+	words := g.words(ctx, relay)
+	for _, m := range list {
+		s, ok := words[m.VM]
+		if ok && s.Age < relayedAge && g.Roster.Hear(clock.Boot()-s.Age, Vouch{VM: s.VM, Epoch: s.Epoch, Version: s.Version}) {
+			continue
+		}
+		go g.ask(ctx, m)
+	}
+}
+
+// words returns what the control VM m knows of all of them; nothing where it does not answer.
+func (g *Gossip) words(ctx context.Context, m state.Member) map[id.VM]summary {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	words := map[id.VM]summary{}
+	a, err := peer.Call[tableAnswer](ctx, g.Transport, m.Peer, methodTable, summary{VM: g.VM})
+	if err != nil {
+		klog.V(1).InfoS("Relay does not answer", "peer", m.Peer, "err", err)
+	}
+	for _, s := range a.List {
+		words[s.VM] = s
+	}
+	return words
+}
+
+// nearest picks one of list for vm: of its zone, where that has any, and so that the VMs spread over them (rendezvous
+// hashing, Thaler and Ravishankar 1998).
+func nearest(list []state.Member, vm id.VM, zone id.Zone) (state.Member, bool) {
+	var best state.Member
+	most := uint64(0)
+	for _, m := range list {
+		h := hash.Pair(hash.String(vm), hash.String(m.VM))
+		near, nearer := m.Zone == zone, best.Zone == zone
+		if best.VM == "" || near && !nearer || near == nearer && h > most {
+			best, most = m, h
+		}
+	}
+	return best, best.VM != ""
 }
 
-// fetch takes the word of one VM.
-func (g *Gossip) fetch(ctx context.Context, m state.Member, method string, s summary) {
+func (g *Gossip) ask(ctx context.Context, m state.Member) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	v, err := peer.Call[Vouch](ctx, g.Transport, m.Peer, method, s)
+	epoch, version := g.Roster.Known(m.VM)
+	v, err := peer.Call[Vouch](ctx, g.Transport, m.Peer, methodWord, summary{VM: g.VM, Epoch: epoch, Version: version})
 	if err != nil || v.VM != m.VM {
-		klog.V(1).InfoS("Roster not fetched", "peer", m.Peer, "method", method, "err", err)
+		klog.V(1).InfoS("Roster not fetched", "peer", m.Peer, "err", err)
 		return
 	}
 	g.Roster.Hear(clock.Boot(), v)
@@ -234,26 +291,34 @@
 			continue
 		}
 		if m, ok := members[s.VM]; ok {
-			go g.fetch(ctx, m, methodPull, summary{VM: g.VM})
+			go g.ask(ctx, m)
 		}
 	}
 }
 
-// flood tells this VM's word to every VM of the data centre.
-func (g *Gossip) flood(ctx context.Context) {
+// flood tells v to every VM of the data centre.
+func (g *Gossip) flood(ctx context.Context, v Vouch) {
 	for vm, m := range g.Members() {
 		if vm != g.VM && (g.Wide || m.Zone == g.Zone) {
-			go g.sendTo(ctx, m.Peer)
+			go g.sendTo(ctx, m.Peer, v)
 		}
 	}
 }
 
-// Spread tells this VM's list to every VM and waits until all have it or wait is over. It returns false where no other
-// control VM has it: what this VM heard would be lost with it.
+// changes returns what has changed since the last round of changes, or that nothing has.
+func (g *Gossip) changes() Vouch {
+	v := g.Roster.Vouch(false)
+	v = g.Roster.Since(v.Epoch, g.told.Load())
+	g.told.Store(v.Version)
+	return v
+}
+
+// Spread tells every VM what has changed and waits until all know or wait is over. It returns false where no other control VM
+// knows: what this VM heard would be lost with it.
 func (g *Gossip) Spread(ctx context.Context, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	v := g.Roster.Vouch(true)
+	v := g.changes()
 	type reply struct {
 		control, ok bool
 	}
@@ -269,7 +334,7 @@
 			others++
 		}
 		go func() {
-			_, err := peer.Call[vouchAnswer](ctx, g.Transport, m.Peer, methodVouch, v)
+			err := g.tell(ctx, m.Peer, v)
 			ch <- reply{m.Control, err == nil}
 		}()
 	}
@@ -281,14 +346,19 @@
 	return kept
 }
 
-func (g *Gossip) sendTo(ctx context.Context, to string) {
+func (g *Gossip) sendTo(ctx context.Context, to string, v Vouch) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := peer.Call[vouchAnswer](ctx, g.Transport, to, methodVouch, g.Roster.Vouch(false))
-	if err == nil && r.Lacking {
-		_, err = peer.Call[vouchAnswer](ctx, g.Transport, to, methodVouch, g.Roster.Vouch(true))
-	}
-	if err != nil {
+	if err := g.tell(ctx, to, v); err != nil {
 		klog.V(2).InfoS("Roster not sent", "peer", to, "err", err)
 	}
 }
+
+// tell sends v, and what the receiver says that it lacks besides.
+func (g *Gossip) tell(ctx context.Context, to string, v Vouch) error {
+	r, err := peer.Call[vouchAnswer](ctx, g.Transport, to, methodVouch, v)
+	if err == nil && r.Lacking {
+		_, err = peer.Call[vouchAnswer](ctx, g.Transport, to, methodVouch, g.Roster.Since(r.Epoch, r.Version))
+	}
+	return err
+}
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -54,35 +54,13 @@
 	return nil, false
 }
 
-// Vouch is what a VM tells the others of its data centre about the upstreams that announce themselves to it.
-type Vouch struct {
-	VM      id.VM                 `cbor:"1,keyasint"`
-	Epoch   uint64                `cbor:"2,keyasint"` // incarnation of the VM
-	Version uint64                `cbor:"3,keyasint"`
-	List    []engine.Announcement `cbor:"4,keyasint,omitempty"` // complete, where the receiver lacks Version
-	Full    bool                  `cbor:"5,keyasint,omitempty"`
-}
-
-// source is one VM's list, or this VM's own.
-type source struct {
-	epoch   uint64
-	version uint64
-	at      time.Duration
-	list    map[id.Upstream]*heard
-}
-
-type heard struct {
-	announcement engine.Announcement
-	at           time.Duration
-}
-
 // Roster is safe for concurrent use; Snapshot takes no lock.
 type Roster struct {
 	vm      id.VM
 	zone    id.Zone // empty takes upstreams of every data centre
 	silence time.Duration
 	mu      sync.Mutex
-	own     source
+	own     own
 	peers   map[id.VM]*source
 	work    map[id.Upstream]*Work
 	gone    map[id.Upstream]gone
@@ -109,7 +87,7 @@
 func New(vm id.VM, zone id.Zone, epoch uint64, changed func()) *Roster {
 	r := &Roster{
 		vm: vm, zone: zone, changed: changed, silence: Silence,
-		own:   source{epoch: epoch, version: 1, list: map[id.Upstream]*heard{}},
+		own:   own{source: source{epoch: epoch, version: 1, list: map[id.Upstream]*heard{}}, dropped: map[id.Upstream]uint64{}},
 		peers: map[id.VM]*source{},
 		work:  map[id.Upstream]*Work{},
 		gone:  map[id.Upstream]gone{},
@@ -142,11 +120,12 @@
 	load := a.Load
 	a.Load = nil
 	news := !known || !same(old.announcement, a)
-	r.own.list[a.Name] = &heard{announcement: a, at: now}
 	if news {
-		r.own.version++
+		r.own.set(now, a)
 		r.rebuild(now)
 		klog.InfoS("Upstream announced", "upstream", a.Name, "address", a.Address, "state", a.State, "role", a.Role)
+	} else {
+		old.at, old.announcement.Sequence = now, a.Sequence
 	}
 	if load != nil {
 		r.workOf(a.Name).Report(now, *load)
@@ -179,8 +158,7 @@
 		a = u.Announcement
 	}
 	a.State, a.Sequence = engine.Leaving, math.MaxUint64
-	r.own.list[n] = &heard{announcement: a, at: now}
-	r.own.version++
+	r.own.set(now, a)
 	r.rebuild(now)
 	klog.InfoS("Upstream departs", "upstream", n, "address", a.Address, "incarnation", a.Incarnation)
 	r.mu.Unlock()
@@ -201,7 +179,7 @@
 	ownChanged, changed := false, false
 	for name, h := range r.own.list {
 		if now-h.at > r.memory(h.announcement) {
-			delete(r.own.list, name)
+			r.own.drop(name)
 			ownChanged = true
 			klog.InfoS("Upstream dropped: no heartbeat", "upstream", name, "address", h.announcement.Address, "for", now-h.at)
 		}
@@ -222,9 +200,6 @@
 			delete(r.gone, name)
 		}
 	}
-	if ownChanged {
-		r.own.version++
-	}
 	if ownChanged || changed {
 		r.rebuild(now)
 	}
@@ -258,53 +233,6 @@
 	return false
 }
 
-// Vouch returns this VM's word; full includes the list.
-func (r *Roster) Vouch(full bool) Vouch {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	v := Vouch{VM: r.vm, Epoch: r.own.epoch, Version: r.own.version, Full: full}
-	if full {
-		for _, h := range r.own.list {
-			v.List = append(v.List, h.announcement)
-		}
-	}
-	return v
-}
-
-// Hear takes another VM's word at now. It returns false where the full list is needed.
-func (r *Roster) Hear(now time.Duration, v Vouch) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, known := r.peers[v.VM]
-	if known && (v.Epoch < s.epoch || v.Epoch == s.epoch && v.Version < s.version) {
-		return true // delayed
-	}
-	if known && s.epoch == v.Epoch && s.version == v.Version {
-		s.at = now
-		return true
-	}
-	if !v.Full {
-		return false
-	}
-	n := &source{epoch: v.Epoch, version: v.Version, at: now, list: map[id.Upstream]*heard{}}
-	for _, a := range v.List {
-		n.list[a.Name] = &heard{announcement: a, at: now}
-	}
-	r.peers[v.VM] = n
-	r.rebuild(now)
-	return true
-}
-
-// Known returns which list of vm this VM has.
-func (r *Roster) Known(vm id.VM) (epoch, version uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s, ok := r.peers[vm]; ok {
-		return s.epoch, s.version
-	}
-	return 0, 0
-}
-
 func (r *Roster) workOf(n id.Upstream) *Work {
 	w, ok := r.work[n]
 	if !ok {
@@ -328,12 +256,16 @@
 			}
 		}
 	}
-	take(&r.own)
+	take(&r.own.source)
 	for _, s := range r.peers {
 		take(s)
 	}
 	r.dropLeft(now, best)
 	r.dropReused(best)
+	before := map[id.Upstream]*Upstream{}
+	for _, u := range r.Snapshot().All {
+		before[u.Name] = u
+	}
 	n := &Snapshot{Models: map[id.Model][]*Upstream{}, Services: map[id.Service][]*Upstream{}}
 	for name, a := range best {
 		if a.State != engine.Ready {
@@ -342,7 +274,11 @@
 		if g, ok := r.gone[name]; ok && g.incarnation >= a.Incarnation {
 			continue
 		}
-		n.All = append(n.All, &Upstream{Announcement: a, Work: r.workOf(name), Hash: hash.String(name)})
+		u, ok := before[name]
+		if !ok || !same(u.Announcement, a) {
+			u = &Upstream{Announcement: a, Work: r.workOf(name), Hash: hash.String(name)}
+		}
+		n.All = append(n.All, u)
 	}
 	slices.SortFunc(n.All, func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
 	for _, u := range n.All {
--- a/internal/services/roster/roster_test.go
+++ b/internal/services/roster/roster_test.go
@@ -100,13 +100,13 @@
 		tell := func(to *Roster, v Vouch) {
 			if !to.Hear(now, v) {
 				i := slices.IndexFunc(rosters, func(r *Roster) bool { return r.vm == v.VM })
-				to.Hear(now, rosters[i].Vouch(true))
+				require.True(t, to.Hear(now, rosters[i].Since(to.Known(v.VM))))
 			}
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Millisecond
 			i := rapid.IntRange(0, 2).Draw(t, "vm")
-			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
 			case 0, 1:
 				name := fmt.Sprint("u", rapid.IntRange(0, 4).Draw(t, "upstream"))
 				inc := rapid.Uint64Range(1, 4).Draw(t, "incarnation")
@@ -116,6 +116,15 @@
 				}
 			case 2:
 				late = append(late, rosters[i].Vouch(rapid.Bool().Draw(t, "full")))
+			case 4:
+				late = append(late, rosters[i].Since(1, rapid.Uint64Range(0, rosters[i].own.version).Draw(t, "since")))
+			case 5:
+				name := fmt.Sprint("u", rapid.IntRange(0, 4).Draw(t, "dropped"))
+				if _, ok := lists[i][name]; ok {
+					delete(lists[i], name)
+					rosters[i].own.drop(id.Upstream(name))
+					rosters[i].rebuild(now)
+				}
 			case 3:
 				if len(late) > 0 { // an old word, perhaps again
 					v := late[rapid.IntRange(0, len(late)-1).Draw(t, "late")]
--- /dev/null
+++ b/internal/services/tally/hub.go
@@ -0,0 +1,176 @@
+package tally
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"wagtaillift/internal/modules/id"
+)
+
+// hub adds up what VMs tell. The zero value is empty.
+type hub struct {
+	mu    sync.Mutex
+	epoch uint64
+	heard map[id.VM]heard
+	sum   map[id.Upstream]Load // over all of heard
+	ring  []ringed
+	next  uint64 // number of the next placement
+	read  map[id.Service]*rate
+}
+
+// rate is a moving average of an amount per second.
+type rate struct {
+	value float64
+	at    time.Duration
+	since time.Duration
+}
+
+// rateMemory is the time constant of rates: long against a burst of requests, short against a shift of the mix.
+const rateMemory = 3 * time.Second
+
+// add counts n at now; value is as of now afterwards.
+func (r *rate) add(now time.Duration, n float64) {
+	if dt := now - r.at; dt > 0 {
+		r.value *= math.Exp(-dt.Seconds() / rateMemory.Seconds())
+		r.at = now
+	}
+	r.value += n / rateMemory.Seconds()
+}
+
+// get returns the average at now, over the time that has passed where that is short.
+func (r *rate) get(now time.Duration) float64 {
+	r.add(now, 0)
+	if now <= r.since {
+		return 0
+	}
+	return r.value / (1 - math.Exp(-(now-r.since).Seconds()/rateMemory.Seconds()))
+}
+
+// totals returns the work of all VMs.
+func (h *hub) totals(now time.Duration) Totals {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.forget(now)
+	t := Totals{Loads: h.others(nil), Read: map[id.Service]float64{}}
+	for s, r := range h.read {
+		if now-r.since > rateMemory {
+			t.Read[s] = r.get(now)
+		}
+	}
+	return t
+}
+
+type heard struct {
+	at    time.Duration
+	loads []Load
+}
+
+type ringed struct {
+	vm id.VM
+	Placed
+}
+
+func (h *hub) exchange(now time.Duration, from id.VM, s sheet) sums {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.take(now, from, s.Loads)
+	h.forget(now)
+	out := sums{Epoch: h.epoch, Loads: h.others(s.Loads), Placed: h.after(from, s)}
+	for _, p := range s.Placed {
+		h.ring = append(h.ring, ringed{vm: from, Placed: p})
+	}
+	h.next += uint64(len(s.Placed))
+	h.ask(now, s.Asked)
+	if len(h.ring) > 2*ringLength {
+		h.ring = append([]ringed(nil), h.ring[len(h.ring)-ringLength:]...)
+	}
+	out.Upto = h.next
+	return out
+}
+
+// ask counts the prompt tokens that callers asked to have read.
+func (h *hub) ask(now time.Duration, list []Asked) {
+	if h.read == nil {
+		h.read = map[id.Service]*rate{}
+	}
+	for _, a := range list {
+		r, ok := h.read[a.Service]
+		if !ok {
+			r = &rate{at: now, since: now}
+			h.read[a.Service] = r
+		}
+		r.add(now, float64(a.Tokens))
+	}
+}
+
+// take puts loads in the place of what from told before.
+func (h *hub) take(now time.Duration, from id.VM, loads []Load) {
+	if h.heard == nil {
+		h.heard, h.sum = map[id.VM]heard{}, map[id.Upstream]Load{}
+	}
+	h.count(h.heard[from].loads, -1)
+	h.count(loads, 1)
+	h.heard[from] = heard{at: now, loads: loads}
+}
+
+// forget takes out the VMs that have been silent.
+func (h *hub) forget(now time.Duration) {
+	for vm, x := range h.heard {
+		if now-x.at > memory {
+			h.count(x.loads, -1)
+			delete(h.heard, vm)
+		}
+	}
+}
+
+// count adds loads to the sum, times sign.
+func (h *hub) count(loads []Load, sign int64) {
+	for _, l := range loads {
+		t := h.sum[l.Upstream]
+		t.Upstream = l.Upstream
+		t.Requests += sign * l.Requests
+		t.Reading += sign * l.Reading
+		if t.Requests == 0 && t.Reading == 0 {
+			delete(h.sum, l.Upstream)
+			continue
+		}
+		h.sum[l.Upstream] = t
+	}
+}
+
+// others returns the outstanding work of all VMs less own.
+func (h *hub) others(own []Load) []Load {
+	less := make(map[id.Upstream]Load, len(own))
+	for _, l := range own {
+		t := less[l.Upstream]
+		t.Requests += l.Requests
+		t.Reading += l.Reading
+		less[l.Upstream] = t
+	}
+	list := make([]Load, 0, len(h.sum))
+	for n, t := range h.sum {
+		t.Requests -= less[n].Requests
+		t.Reading -= less[n].Reading
+		if t.Requests != 0 || t.Reading != 0 {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// after returns the placements of other VMs that from has not been told.
+func (h *hub) after(from id.VM, s sheet) []Placed {
+	first := h.next - uint64(len(h.ring))
+	at := first
+	if s.Epoch == h.epoch {
+		at = min(max(first, s.After), h.next)
+	}
+	var list []Placed
+	for _, r := range h.ring[at-first:] {
+		if r.vm != from {
+			list = append(list, r.Placed)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/services/tally/hub_test.go
@@ -0,0 +1,97 @@
+package tally
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtaillift/internal/modules/fixed"
+	"wagtaillift/internal/modules/id"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m, 100) }
+
+// naive adds up what every VM but from told last, less what is too old.
+func naive(told map[id.VM]heard, now time.Duration, from id.VM) []Load {
+	sum := map[id.Upstream]Load{}
+	for vm, x := range told {
+		if vm == from || now-x.at > memory {
+			continue
+		}
+		for _, l := range x.loads {
+			t := sum[l.Upstream]
+			sum[l.Upstream] = Load{Upstream: l.Upstream, Requests: t.Requests + l.Requests, Reading: t.Reading + l.Reading}
+		}
+	}
+	list := []Load{}
+	for _, l := range sum {
+		if l.Requests != 0 || l.Reading != 0 {
+			list = append(list, l)
+		}
+	}
+	return sorted(list)
+}
+
+func sorted(list []Load) []Load {
+	slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return list
+}
+
+func TestHubAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h hub
+		told := map[id.VM]heard{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond
+			vm := id.VM(fmt.Sprint("vm", rapid.IntRange(0, 3).Draw(t, "vm")))
+			var loads []Load
+			for range rapid.IntRange(0, 4).Draw(t, "loads") {
+				loads = append(loads, Load{
+					Upstream: id.Upstream(fmt.Sprint("u", rapid.IntRange(0, 3).Draw(t, "upstream"))),
+					Requests: rapid.Int64Range(0, 3).Draw(t, "requests"), Reading: rapid.Int64Range(0, 900).Draw(t, "reading"),
+				})
+			}
+			told[vm] = heard{at: now, loads: loads}
+			got := h.exchange(now, vm, sheet{Loads: loads}).Loads
+			require.Equal(t, naive(told, now, vm), sorted(got))
+			require.Equal(t, naive(told, now, ""), sorted(h.totals(now).Loads))
+		}
+	})
+}
+
+// TestPlacementsReachTheOthersOnce also has a VM ask again after the hub has started anew.
+func TestPlacementsReachTheOthersOnce(t *testing.T) {
+	h := hub{epoch: 7}
+	p := Placed{Upstream: "u", Chain: 3, Tokens: 100}
+	h.exchange(0, "vm1", sheet{Placed: []Placed{p}})
+	r := h.exchange(0, "vm2", sheet{})
+	require.Equal(t, []Placed{p}, r.Placed)
+	require.Empty(t, h.exchange(0, "vm2", sheet{Epoch: r.Epoch, After: r.Upto}).Placed)
+	require.Empty(t, h.exchange(0, "vm1", sheet{}).Placed, "its own")
+	require.Equal(t, []Placed{p}, h.exchange(0, "vm2", sheet{Epoch: 6, After: r.Upto}).Placed)
+}
+
+// BenchmarkExchange is one exchange of one of n VMs that each have work at 140 upstreams.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{6, 83, 371} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var loads []Load
+			for i := range 140 {
+				loads = append(loads, Load{Upstream: id.Upstream(fmt.Sprint("u", i)), Requests: 1, Reading: 100})
+			}
+			var h hub
+			for i := range n {
+				h.exchange(0, id.VM(fmt.Sprint("vm", i)), sheet{Loads: loads})
+			}
+			for b.Loop() {
+				h.exchange(0, "vm0", sheet{Loads: loads})
+			}
+		})
+	}
+}
