Upstreams that were taken away are ordered again at once

Cause: the plan saw that none ran, but the same number had been ordered before, and such an order went out again only 7 s later, after a start and its margin; only its refusal says that none are to be had, and only then ordinary ones are ordered. Six seconds with two of three data centres short. Ruled out: late news of the reclaim (every departure was known within 0.1 s), the platform (it answered at once). Change: an order goes out again a second after it where fewer run than have run since. Pure (scaler.due), with the times as arguments.

--- a/internal/routers/vm/scale.go
+++ b/internal/routers/vm/scale.go
@@ -21,6 +21,7 @@
 	needMemory  = 10 * time.Second        // the need is the greatest of this time: upstreams take seconds to come
 	dryFor      = 3 * time.Second         // before upstreams that were not to be had are asked for again
 	resendAfter = 3 * time.Second         // beyond an upstream's start, where fewer run than were ordered
+	goneAfter   = time.Second             // between two orders for what has gone: a data centre's cheap ones leave within that
 	settle      = 2500 * time.Millisecond // after the first upstream was seen, by when the others have announced themselves
 	lowerCheap  = 15 * time.Second        // a smaller number of cheap upstreams must be wanted for so long
 	lowerOthers = 2 * time.Second         // and of ordinary ones, which are held anyway until cheap ones work
@@ -29,10 +30,11 @@
 	slotPart    = 0.5                     // of its slots that a plain upstream is to use
 )
 
-// ordered is what this VM asked for last.
+// ordered is what this VM asked for last, and the most that ran since.
 type ordered struct {
 	count int
 	at    time.Duration
+	ran   int
 }
 
 // scaler remembers what this VM ordered and saw.
@@ -45,6 +47,13 @@
 	base  map[id.Service]int           // how many there were after settle
 }
 
+func newScaler() *scaler {
+	return &scaler{
+		sent: map[order.Number]ordered{}, dry: map[order.Number]time.Duration{}, lower: map[order.Number]time.Duration{},
+		needs: map[id.Service][]needAt{}, first: map[id.Service]time.Duration{}, base: map[id.Service]int{},
+	}
+}
+
 type needAt struct {
 	at   time.Duration
 	need float64
@@ -52,13 +61,10 @@
 
 // planScale orders upstreams while this VM may, until ctx ends.
 func (v *VM) planScale(ctx context.Context) {
-	s := scaler{
-		sent: map[order.Number]ordered{}, dry: map[order.Number]time.Duration{}, lower: map[order.Number]time.Duration{},
-		needs: map[id.Service][]needAt{}, first: map[id.Service]time.Duration{}, base: map[id.Service]int{},
-	}
+	s := newScaler()
 	v.plan(ctx, "upstreams", v.orders.Platform, func(now time.Duration, svc service.Service, t tally.Totals) {
 		if svc.Scale != nil {
-			v.scaleService(ctx, now, &s, svc, t)
+			v.scaleService(ctx, now, s, svc, t)
 		}
 	})
 }
@@ -112,7 +118,33 @@
 	return now-since >= wait
 }
 
-// orderNumber sends n where it differs from what was sent, or from what runs for longer than a start takes.
+// due reports whether n is to be sent at now, while runs upstreams of its kind run: where it differs from what was sent, where
+// some have gone since, or where fewer run for longer than a start takes.
+func (s *scaler) due(now, boot time.Duration, n order.Number, runs int) bool {
+	kind := n
+	kind.Count = 0
+	last, known := s.sent[kind]
+	if !known {
+		last.count = runs // what runs at the start stays as it is until another number is wanted
+		if n.Cheap {
+			last.count = 0
+		}
+	}
+	if !s.lowered(now, n, kind, last.count) || now < s.dry[kind] {
+		return false
+	}
+	if last.count != n.Count {
+		return true
+	}
+	gone := runs < last.ran && now-last.at >= goneAfter
+	last.ran = max(last.ran, runs)
+	if known {
+		s.sent[kind] = last
+	}
+	return known && runs < n.Count && (gone || now-last.at > boot+resendAfter)
+}
+
+// orderNumber sends n where it is due.
 func (v *VM) orderNumber(ctx context.Context, now time.Duration, s *scaler, svc service.Service, n order.Number, view scale.View) {
 	kind := n
 	kind.Count = 0
@@ -125,18 +157,7 @@
 			}
 		}
 	}
-	last, known := s.sent[kind]
-	if !known {
-		last.count = runs // what runs at the start stays as it is until another number is wanted
-		if n.Cheap {
-			last.count = 0
-		}
-	}
-	if !s.lowered(now, n, kind, last.count) {
-		return
-	}
-	late := runs < n.Count && now-last.at > svc.Scale.Boot+resendAfter
-	if now < s.dry[kind] || last.count == n.Count && !(known && late) {
+	if !s.due(now, svc.Scale.Boot, n, runs) {
 		return
 	}
 	err := v.orders.Scale(ctx, n)
@@ -145,7 +166,7 @@
 	case errors.Is(err, order.ErrDry):
 		s.dry[kind] = now + dryFor
 	case err == nil:
-		s.sent[kind] = ordered{count: n.Count, at: now}
+		s.sent[kind] = ordered{count: n.Count, at: now, ran: runs}
 	}
 }
 
