In a large fleet every control VM is a hub of the loads, and hubs tell each other

Ways weighed: fewer exchanges (older figures for placement), deltas (every engine's load changes between two exchanges), several hubs (figures of other hubs' VMs are 100 ms older). Chosen: several hubs, from 17 entry VMs on; below, one hub as before. Each VM picks a hub of its data centre by rendezvous hashing; a hub tells the others the sum of its own VMs, their new placements and the tokens asked for, counted from its start so that a lost message is made up for. Tests: TestHubsAgainstNaive (losses of messages and of answers), TestSharedWorkEnds, TestHubsFor.

--- a/internal/services/tally/hub.go
+++ b/internal/services/tally/hub.go
@@ -17,6 +17,15 @@
 	ring  []ringed
 	next  uint64 // number of the next placement
 	read  map[id.Service]*rate
+	asked map[id.Service]int64 // prompt tokens that this hub's VMs asked for, all in all
+	hubs  map[id.VM]*other
+}
+
+// other is what a hub knows of another one.
+type other struct {
+	told  uint64 // placements up to here were taken there
+	epoch uint64
+	asked map[id.Service]int64 // as it said last
 }
 
 // rate is a moving average of an amount per second.
@@ -64,31 +73,44 @@
 type heard struct {
 	at    time.Duration
 	loads []Load
+	hub   bool // the work of all VMs that tell another hub
 }
 
 type ringed struct {
-	vm id.VM
+	vm  id.VM
+	hub bool // heard from another hub
 	Placed
 }
 
 func (h *hub) exchange(now time.Duration, from id.VM, s sheet) sums {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.take(now, from, s.Loads)
+	h.take(from, heard{at: now, loads: s.Loads})
 	h.forget(now)
 	out := sums{Epoch: h.epoch, Loads: h.others(s.Loads), Placed: h.after(from, s)}
-	for _, p := range s.Placed {
-		h.ring = append(h.ring, ringed{vm: from, Placed: p})
-	}
-	h.next += uint64(len(s.Placed))
+	h.keep(from, false, s.Placed)
 	h.ask(now, s.Asked)
-	if len(h.ring) > 2*ringLength {
-		h.ring = append([]ringed(nil), h.ring[len(h.ring)-ringLength:]...)
+	if h.asked == nil {
+		h.asked = map[id.Service]int64{}
+	}
+	for _, a := range s.Asked {
+		h.asked[a.Service] += a.Tokens
 	}
 	out.Upto = h.next
 	return out
 }
 
+// keep puts placements into the ring.
+func (h *hub) keep(from id.VM, hub bool, list []Placed) {
+	for _, p := range list {
+		h.ring = append(h.ring, ringed{vm: from, hub: hub, Placed: p})
+	}
+	h.next += uint64(len(list))
+	if len(h.ring) > 2*ringLength {
+		h.ring = append([]ringed(nil), h.ring[len(h.ring)-ringLength:]...)
+	}
+}
+
 // ask counts the prompt tokens that callers asked to have read.
 func (h *hub) ask(now time.Duration, list []Asked) {
 	if h.read == nil {
@@ -104,14 +126,14 @@
 	}
 }
 
-// take puts loads in the place of what from told before.
-func (h *hub) take(now time.Duration, from id.VM, loads []Load) {
+// take puts x in the place of what from told before.
+func (h *hub) take(from id.VM, x heard) {
 	if h.heard == nil {
 		h.heard, h.sum = map[id.VM]heard{}, map[id.Upstream]Load{}
 	}
 	h.count(h.heard[from].loads, -1)
-	h.count(loads, 1)
-	h.heard[from] = heard{at: now, loads: loads}
+	h.count(x.loads, 1)
+	h.heard[from] = x
 }
 
 // forget takes out the VMs that have been silent.
@@ -161,16 +183,21 @@
 
 // after returns the placements of other VMs that from has not been told.
 func (h *hub) after(from id.VM, s sheet) []Placed {
-	first := h.next - uint64(len(h.ring))
-	at := first
+	after := uint64(0)
 	if s.Epoch == h.epoch {
-		at = min(max(first, s.After), h.next)
+		after = s.After
 	}
 	var list []Placed
-	for _, r := range h.ring[at-first:] {
+	for _, r := range h.since(after) {
 		if r.vm != from {
 			list = append(list, r.Placed)
 		}
 	}
 	return list
 }
+
+// since returns what the ring still has after a number.
+func (h *hub) since(after uint64) []ringed {
+	first := h.next - uint64(len(h.ring))
+	return h.ring[min(max(first, after), h.next)-first:]
+}
--- a/internal/services/tally/tally.go
+++ b/internal/services/tally/tally.go
@@ -1,11 +1,10 @@
 // Package tally tells each VM what the others have sent to the upstreams: their outstanding work and where the leading
-// parts of prompts were read. Each VM exchanges its own figures with one control VM, several times a second.
+// parts of prompts were read. Each VM exchanges its own figures with one control VM, the hub, several times a second. In a
+// large fleet there are several hubs, which tell each other.
 package tally
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,6 +20,7 @@
 const (
 	method      = "tally"
 	methodTotal = "totals"
+	methodShare = "share"
 	period      = 100 * time.Millisecond // a tenth of the times to the first token that decisions aim at
 	restPeriods = 10                     // a VM without work exchanges once in so many periods
 	callTimeout = 300 * time.Millisecond
@@ -94,6 +94,7 @@
 	unsent []Placed
 	asked  map[id.Service]int64
 	rest   int
+	busy   map[id.VM]chan struct{} // closed once the last share with a hub is over
 }
 
 // Register answers the other VMs. It comes before the transport serves.
@@ -102,6 +103,10 @@
 	peer.Handle(e.Transport, method, func(_ context.Context, from id.VM, s sheet) (sums, error) {
 		return e.hub.exchange(clock.Boot(), from, s), nil
 	})
+	peer.Handle(e.Transport, methodShare, func(_ context.Context, from id.VM, s share) (struct{}, error) {
+		e.hub.hear(clock.Boot(), from, s)
+		return struct{}{}, nil
+	})
 	peer.Handle(e.Transport, methodTotal, func(context.Context, id.VM, struct{}) (Totals, error) {
 		return e.hub.totals(clock.Boot()), nil
 	})
@@ -109,10 +114,12 @@
 
 // Run exchanges until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
-	if e.Work == nil {
-		return
-	}
-	pause.Each(ctx, period, func() { e.once(ctx) })
+	pause.Each(ctx, period, func() {
+		e.shareAll(ctx)
+		if e.Work != nil {
+			e.once(ctx)
+		}
+	})
 }
 
 // once makes one exchange with the first control VM that answers.
@@ -125,7 +132,10 @@
 		return
 	}
 	e.rest = 0
-	for _, m := range e.hubs() {
+	for _, m := range hubsFor(e.VM, e.Members()) {
+		if m.VM == e.VM {
+			continue
+		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		r, err := peer.Call[sums](call, e.Transport, m.Peer, method, s)
 		cancel()
@@ -157,11 +167,12 @@
 	return list
 }
 
-// Totals returns the work of all VMs, from the control VM that the others tell it to.
+// Totals returns the work of all VMs, from a control VM that knows it.
 func (e *Exchange) Totals(ctx context.Context) (Totals, error) {
 	err := error(nil)
-	for _, m := range e.everyHub() {
-		if m.VM == e.VM {
+	members := e.Members()
+	for _, m := range hubsFor(e.VM, members) {
+		if m.VM == e.VM || members[e.VM].Control && spread(members) {
 			return e.hub.totals(clock.Boot()), nil
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -174,19 +185,3 @@
 	}
 	return Totals{}, errors.Annotate(err, "ask for the totals")
 }
-
-// hubs returns the control VMs in the order in which every VM tries them.
-func (e *Exchange) hubs() []state.Member {
-	return slices.DeleteFunc(e.everyHub(), func(m state.Member) bool { return m.VM == e.VM })
-}
-
-func (e *Exchange) everyHub() []state.Member {
-	var list []state.Member
-	for _, m := range e.Members() {
-		if m.Control {
-			list = append(list, m)
-		}
-	}
-	slices.SortFunc(list, func(a, b state.Member) int { return cmp.Compare(a.VM, b.VM) })
-	return list
-}
