Departures of a moment leave in one round

Cause: a departure is acknowledged once the others know, and each of 65 upstreams that a reclaim takes at once sent its own message to all 88 VMs, besides the round of changes: 650 messages a second from one control VM. Tests: TestDeparturesShareARound, TestSpreadWithoutAnotherControlVMFails.

--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -21,6 +21,7 @@
 	methodTable  = "table"
 	methodWord   = "word"
 	vouchEvery   = 500 * time.Millisecond
+	floodAfter   = 20 * time.Millisecond // from a change on: what departs is told by Spread, which is then not told twice
 	floodEvery   = 50 * time.Millisecond // least time between two rounds of changes: engines change in numbers
 	relayedAge   = 2 * vouchEvery        // from which on a word through the relay is too old: the VM itself is asked
 	expireEvery  = 250 * time.Millisecond
@@ -86,6 +87,8 @@
 	table Table
 	wake  chan struct{}
 	told  atomic.Uint64 // version of the own list that has gone to every VM
+	mu    sync.Mutex
+	next  *round // the round of Spread that has not begun; nil where none waits
 }
 
 // Register answers the other VMs. It comes before the transport serves.
@@ -130,6 +133,7 @@
 		case <-expire.C:
 			g.Roster.Expire(clock.Boot())
 		case <-g.wake:
+			pause.For(ctx, floodAfter)
 			if v := g.changes(); v.Full || v.Since > 0 {
 				g.flood(ctx, v)
 			}
@@ -313,39 +317,6 @@
 	return v
 }
 
-// Spread tells every VM what has changed and waits until all know or wait is over. It returns false where no other control VM
-// knows: what this VM heard would be lost with it.
-func (g *Gossip) Spread(ctx context.Context, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	v := g.changes()
-	type reply struct {
-		control, ok bool
-	}
-	members := g.Members()
-	ch := make(chan reply, len(members))
-	n, others := 0, 0
-	for vm, m := range members {
-		if vm == g.VM {
-			continue
-		}
-		n++
-		if m.Control {
-			others++
-		}
-		go func() {
-			err := g.tell(ctx, m.Peer, v)
-			ch <- reply{m.Control, err == nil}
-		}()
-	}
-	kept := others == 0
-	for range n {
-		r := <-ch
-		kept = kept || r.control && r.ok
-	}
-	return kept
-}
-
 func (g *Gossip) sendTo(ctx context.Context, to string, v Vouch) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/services/roster/wide_test.go
+++ b/internal/services/roster/wide_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/models/engine"
@@ -98,3 +101,36 @@
 	require.True(t, c.Spread(t.Context(), 10*time.Second))
 	f.knows(e, 2)
 }
+
+// TestDeparturesShareARound has 40 upstreams of one data centre depart at once.
+func TestDeparturesShareARound(t *testing.T) {
+	f := newFleet(t)
+	c, other, e := f.add("c1", true), f.add("c2", true), f.add("e", false)
+	const n = 40
+	for i := range n {
+		require.NoError(t, c.Roster.Announce(0, announcement(fmt.Sprint("u", i), 1, engine.Ready)))
+	}
+	require.True(t, c.Spread(t.Context(), 10*time.Second))
+	f.knows(e, n)
+	calls := c.Transport.Stats.Calls.Load()
+	var wg sync.WaitGroup
+	for i := range n {
+		c.Roster.Depart(1, id.Upstream(fmt.Sprint("u", i)), 1)
+	}
+	for range n {
+		wg.Go(func() { assert.True(t, c.Spread(t.Context(), 10*time.Second)) })
+	}
+	wg.Wait()
+	f.knows(e, 0)
+	f.knows(other, 0)
+	require.Less(t, c.Transport.Stats.Calls.Load()-calls, int64(n), "fewer messages than departures")
+}
+
+// Nothing that one VM alone has heard is acknowledged.
+func TestSpreadWithoutAnotherControlVMFails(t *testing.T) {
+	f := newFleet(t)
+	c, other := f.add("c1", true), f.add("c2", true)
+	other.Transport.Close()
+	require.NoError(t, c.Roster.Announce(0, announcement("u", 1, engine.Ready)))
+	require.False(t, c.Spread(t.Context(), 100*time.Millisecond))
+}
