No upstream is given back before another works

Cause: the bound of upstreams in a data centre holds for both kinds together; the plan ordered 87 cheap ones where 70 ordinary ones ran, and made room by giving back 63 of these at once, in two data centres together, four seconds before the first cheap one worked. Also a data centre without cheap ones to be had gave back those that still ran. Ways weighed: waiting with cheap ones until there is room (dear for ever), the whole need as the bound (stuck where the bound binds). Chosen: what runs stays above 0.85 of what is wanted by the plan's own doing, the dearest goes first, cheap ones come in steps.

--- a/internal/services/scale/scale.go
+++ b/internal/services/scale/scale.go
@@ -51,7 +51,7 @@
 
 // Plan returns what each data centre is to have at now. It answers a load that grows beyond what runs, and cheap
 // upstreams that are taken away a data centre at a time: the need is met with cheap ones, spread so that the others carry
-// the work when one data centre loses its own, and ordinary ones are given back only once the cheap ones work.
+// the work when one data centre loses its own, and none are given back before others work in their place.
 func Plan(now time.Duration, v *View) []Want {
 	zones := slices.Clone(v.Zones)
 	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name)) })
@@ -68,7 +68,7 @@
 	}
 	missing = v.fillCheap(now, zones, want, missing)
 	v.fillOrdinary(want, missing)
-	v.keep(zones, want)
+	v.keep(zones, want, need)
 	return want
 }
 
@@ -122,7 +122,7 @@
 			if missing <= 0 {
 				return 0
 			}
-			if now < zones[i].Dry || want[i].Ordinary+want[i].Cheap >= v.Most {
+			if now < zones[i].Dry && want[i].Cheap >= zones[i].Cheap || want[i].Ordinary+want[i].Cheap >= v.Most {
 				continue
 			}
 			want[i].Cheap++
@@ -147,12 +147,47 @@
 	}
 }
 
-// keep holds ordinary upstreams until the cheap ones that replace them take work.
-func (v *View) keep(zones []Zone, want []Want) {
-	for i, z := range zones {
-		lacking := max(0, want[i].Cheap-z.Cheap)
-		if surplus := z.Ordinary - want[i].Ordinary; surplus > 0 {
-			want[i].Ordinary += min(surplus, lacking, max(0, v.Most-want[i].Ordinary-want[i].Cheap))
+// holdPart is the part of the wanted upstreams below which the plan takes none away before others work in their place: what
+// starts takes seconds, and the queue of those seconds takes many more to end.
+const holdPart = 0.85
+
+// held returns how many upstreams stay until others work. While the work is not known there is no queue to be afraid of.
+func (v *View) held(need int) int {
+	if v.Need <= 0 {
+		return int(math.Ceil(firmPart * float64(v.Base)))
+	}
+	return int(math.Ceil(holdPart * float64(need)))
+}
+
+// keep holds upstreams that the plan would give back: ordinary ones until the cheap ones that replace them work, and both kinds
+// where fewer than v.held would run. Where a data centre has no room for both kinds, cheap ones come in steps.
+func (v *View) keep(zones []Zone, want []Want, need int) {
+	spare := -v.held(need)
+	for _, z := range zones {
+		spare += z.Ordinary + min(z.Cheap, v.Most-v.Least) // the rest gives way to the least ordinary ones
+	}
+	give := func(n int) int {
+		n = max(0, min(n, spare))
+		spare -= n
+		return n
+	}
+	for i := len(zones) - 1; i >= 0; i-- { // the dearest first
+		z, w := zones[i], &want[i]
+		surplus := max(0, z.Ordinary-w.Ordinary)
+		hold := min(surplus, max(0, w.Cheap-z.Cheap))
+		hold = surplus - give(surplus-hold)
+		if over := w.Ordinary + hold + w.Cheap - v.Most; over > 0 {
+			hold -= give(min(over, hold))
+		}
+		w.Ordinary += hold
+		w.Cheap = max(0, min(w.Cheap, v.Most-w.Ordinary))
+	}
+	for i := len(zones) - 1; i >= 0; i-- {
+		z, w := zones[i], &want[i]
+		if surplus := z.Cheap - w.Cheap; surplus > 0 {
+			w.Cheap += surplus - give(surplus)
+			w.Ordinary = min(w.Ordinary, max(v.Least, v.Most-w.Cheap))
+			w.Cheap = min(w.Cheap, v.Most-w.Ordinary)
 		}
 	}
 }
--- a/internal/services/scale/scale_test.go
+++ b/internal/services/scale/scale_test.go
@@ -94,13 +94,72 @@
 			}
 			v.Zones = append(v.Zones, z)
 		}
+		have := map[id.Zone]Zone{}
+		running, kept, forced := 0, 0, 0
+		for _, z := range v.Zones {
+			have[z.Name] = z
+			running += z.Ordinary + z.Cheap
+			forced += max(0, z.Cheap+v.Least-v.Most) // the bounds leave no room for them
+		}
 		total := 0
 		for _, w := range Plan(time.Second, &v) {
+			kept += min(w.Ordinary, have[w.Zone].Ordinary) + min(w.Cheap, have[w.Zone].Cheap)
 			require.GreaterOrEqual(t, w.Ordinary, v.Least)
 			require.GreaterOrEqual(t, w.Cheap, 0)
 			require.LessOrEqual(t, w.Ordinary+w.Cheap, v.Most)
 			total += w.Ordinary + w.Cheap
 		}
 		require.GreaterOrEqual(t, total, min(int(v.Need), v.Most*len(v.Zones)))
+		require.GreaterOrEqual(t, kept, min(running-forced, v.held(v.need())), "the plan itself takes away what is needed")
 	})
 }
+
+// reclaimed is what is left 12 s after two of three data centres of 70 cheap upstreams each were reclaimed: ordinary ones have
+// come in their place, and cheap ones are to be had again.
+func reclaimed() View {
+	return View{
+		Zones: []Zone{
+			{Name: "a", Price: 0.8, Ordinary: 70}, {Name: "b", Price: 1, Ordinary: 8, Cheap: 86}, {Name: "c", Price: 1.25, Ordinary: 69},
+		},
+		Least: 1, Most: 94, Cheap: 0.22, Need: 116, Base: 140, Reserve: 0.1,
+	}
+}
+
+// TestCheapComeBackInSteps plays the plan's orders, where what is ordered works one step later: enough runs all the time, and in
+// the end most of it is cheap.
+func TestCheapComeBackInSteps(t *testing.T) {
+	v := reclaimed()
+	least := v.held(v.need())
+	for range 20 {
+		want := map[id.Zone]Want{}
+		for _, w := range Plan(0, &v) {
+			want[w.Zone] = w
+		}
+		running := 0
+		for i := range v.Zones { // what is taken away goes at once
+			z := &v.Zones[i]
+			z.Ordinary, z.Cheap = min(z.Ordinary, want[z.Name].Ordinary), min(z.Cheap, want[z.Name].Cheap)
+			running += z.Ordinary + z.Cheap
+		}
+		require.GreaterOrEqual(t, running, least)
+		for i := range v.Zones {
+			z := &v.Zones[i]
+			z.Ordinary, z.Cheap = want[z.Name].Ordinary, want[z.Name].Cheap
+		}
+	}
+	ordinary := 0
+	for _, z := range v.Zones {
+		ordinary += z.Ordinary
+	}
+	require.Less(t, ordinary, 40, "the dear ones are given back in the end")
+}
+
+func TestDryDataCentreKeepsWhatRuns(t *testing.T) {
+	v := reclaimed()
+	v.Zones[1].Dry = time.Minute
+	for _, w := range Plan(time.Second, &v) {
+		if w.Zone == "b" {
+			require.GreaterOrEqual(t, w.Cheap, 60)
+		}
+	}
+}
