--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -265,11 +265,9 @@
 		close(ch)
 		delete(r.reads, token)
 	}
-	for i, w := range r.waits {
-		if w.term < r.core.Term() {
-			w.ch <- outcome[R]{err: ErrLost}
-			delete(r.waits, i)
-		}
+	for i, w := range r.waits { // what another leader does with them is not seen here
+		w.ch <- outcome[R]{err: ErrLost}
+		delete(r.waits, i)
 	}
 }
 
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -290,6 +290,26 @@
 	}
 }
 
+// leaderPoll is how often AwaitLeader looks.
+const leaderPoll = 20 * time.Millisecond
+
+// AwaitLeader waits until this VM leads or knows a way to the leader, and reports whether it does before wait is over.
+func (a *Authority) AwaitLeader(ctx context.Context, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		if a.Leading(clock.Boot()) {
+			return true
+		}
+		if _, ok := a.upstream(); ok {
+			return true
+		}
+		if !pause.For(ctx, leaderPoll) {
+			return false
+		}
+	}
+}
+
 // propose commits here, where this VM leads, else passes p on towards the leader.
 func (a *Authority) propose(ctx context.Context, p proposal) (state.Result, error) {
 	if a.replica != nil && a.replica.Status().Leading {
--- a/internal/services/authority/authority_test.go
+++ b/internal/services/authority/authority_test.go
@@ -284,6 +284,9 @@
 	require.Error(t, err)
 	require.Equal(t, id.Revision(1), g.nodes[3].a.Config().Revision)
 	require.Error(t, g.nodes[3].a.Fresh(ctx))
+	t.Run("the one that is left knows that nobody leads", func(t *testing.T) {
+		require.False(t, g.nodes[0].a.AwaitLeader(context.Background(), 50*time.Millisecond))
+	})
 	t.Run("a withdrawal still reaches whom it can", func(t *testing.T) {
 		g.nodes[3].a.Withdraw(context.Background(), "k")
 		require.True(t, g.nodes[3].a.Withdrawn("k"))
