--- a/internal/services/roster/spread.go
+++ b/internal/services/roster/spread.go
@@ -27,8 +27,6 @@
 		go g.spread(context.WithoutCancel(ctx), r, wait)
 	}
 	g.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+gatherFor)
-	defer cancel()
 	select {
 	case <-r.done:
 		return r.kept
--- a/internal/services/roster/wide_test.go
+++ b/internal/services/roster/wide_test.go
@@ -134,3 +134,15 @@
 	require.NoError(t, c.Roster.Announce(0, announcement("u", 1, engine.Ready)))
 	require.False(t, c.Spread(t.Context(), 100*time.Millisecond))
 }
+
+// One control VM of three has stopped: what the other knows is kept, although the round waits for the one that stopped.
+func TestSpreadOutlastsAVMThatStopped(t *testing.T) {
+	f := newFleet(t)
+	c := f.add("c1", true)
+	f.add("c2", true)
+	f.add("c3", true).Transport.Close()
+	for i := range 10 {
+		require.NoError(t, c.Roster.Announce(0, announcement("u", uint64(i+1), engine.Ready)))
+		require.True(t, c.Spread(t.Context(), 100*time.Millisecond), "round %d", i)
+	}
+}
