--- a/internal/services/scale/scale.go
+++ b/internal/services/scale/scale.go
@@ -149,7 +149,7 @@
 
 // holdPart is the part of the wanted upstreams below which the plan takes none away before others work in their place: what
 // starts takes seconds, and the queue of those seconds takes many more to end.
-const holdPart = 0.85
+const holdPart = 0.75
 
 // held returns how many upstreams stay until others work. While the work is not known there is no queue to be afraid of.
 func (v *View) held(need int) int {
@@ -159,8 +159,8 @@
 	return int(math.Ceil(holdPart * float64(need)))
 }
 
-// keep holds upstreams that the plan would give back: ordinary ones until the cheap ones that replace them work, and both kinds
-// where fewer than v.held would run. Where a data centre has no room for both kinds, cheap ones come in steps.
+// keep holds ordinary upstreams until the cheap ones that replace them work. Where a data centre has no room for both kinds,
+// ordinary ones make room as far as v.held still run, and beyond that in one data centre after the other.
 func (v *View) keep(zones []Zone, want []Want, need int) {
 	spare := -v.held(need)
 	for _, z := range zones {
@@ -171,23 +171,29 @@
 		spare -= n
 		return n
 	}
+	changing := false
 	for i := len(zones) - 1; i >= 0; i-- { // the dearest first
 		z, w := zones[i], &want[i]
 		surplus := max(0, z.Ordinary-w.Ordinary)
 		hold := min(surplus, max(0, w.Cheap-z.Cheap))
-		hold = surplus - give(surplus-hold)
-		if over := w.Ordinary + hold + w.Cheap - v.Most; over > 0 {
-			hold -= give(min(over, hold))
+		if over := min(hold, w.Ordinary+hold+w.Cheap-v.Most); over > 0 {
+			room := give(over)
+			if !changing && !starting(zones, want, i) {
+				room, changing = over, true
+			}
+			hold -= room
 		}
 		w.Ordinary += hold
 		w.Cheap = max(0, min(w.Cheap, v.Most-w.Ordinary))
 	}
-	for i := len(zones) - 1; i >= 0; i-- {
-		z, w := zones[i], &want[i]
-		if surplus := z.Cheap - w.Cheap; surplus > 0 {
-			w.Cheap += surplus - give(surplus)
-			w.Ordinary = min(w.Ordinary, max(v.Least, v.Most-w.Cheap))
-			w.Cheap = min(w.Cheap, v.Most-w.Ordinary)
+}
+
+// starting reports whether cheap upstreams start in another data centre than the i-th that has given its others back.
+func starting(zones []Zone, want []Want, i int) bool {
+	for k, z := range zones {
+		if k != i && want[k].Cheap > z.Cheap && z.Ordinary <= want[k].Ordinary {
+			return true
 		}
 	}
+	return false
 }
