--- a/internal/services/roster/vouch.go
+++ b/internal/services/roster/vouch.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"slices"
 	"time"
 
 	"wagtaillift/internal/models/engine"
@@ -161,5 +160,5 @@
 	for vm, s := range r.peers {
 		list = append(list, summary{VM: vm, Epoch: s.epoch, Version: s.version, Age: max(0, now-s.at)})
 	}
-	return slices.Clip(list)
+	return list
 }
