A crash is seen while the engine's process is still ending

After engine0 had cut its streams, the probe reached its port, which a process that ends closes some milliseconds after its streams, and was cut off as well; only a refused connection counted as a crash, so this first one was not counted, and the second one was taken for the first. Ruled out: two suspects on one engine (the request was no suspect yet on engine3), the reservation between VMs.

--- /dev/null
+++ b/internal/services/dispatch/crashed_test.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/upstream"
+	"wagtaillift/internal/services/roster"
+)
+
+// announced returns an upstream at address.
+func announced(t *testing.T, address string) *roster.Upstream {
+	r := roster.New("vm1", "a", 1, func() {})
+	a := engine.Announcement{Name: "u", Zone: "a", Address: address, State: engine.Ready, Service: "s", Incarnation: 7}
+	require.NoError(t, r.Announce(clock.Boot(), a))
+	u, ok := r.Snapshot().Find(id.Upstream("u"))
+	require.True(t, ok)
+	return u
+}
+
+// A process that ends has cut its streams, takes one more connection, and only then closes its port.
+func TestCrashIsSeenWhileTheProcessEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			c.Read(make([]byte, 1))
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+		l.Close()
+	}()
+	d := &Dispatcher{Client: upstream.New()}
+	require.True(t, d.crashed(announced(t, l.Addr().String())))
+}
+
+func TestUpstreamThatAnswersHasNotCrashed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := announced(t, l.Addr().String())
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerIncarnation, incarnationOf(u.Announcement))
+	})}
+	go srv.Serve(l)
+	defer srv.Close()
+	d := &Dispatcher{Client: upstream.New()}
+	defer d.Client.CloseIdle()
+	require.False(t, d.crashed(u))
+}
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -34,7 +34,6 @@
 	retryAfter    = time.Second
 	backlog       = 0.1 // most load queued at an engine, as a multiple of its memory
 	suspectPause  = 20 * time.Millisecond
-	probeTimeout  = 300 * time.Millisecond
 	tokenTimeout  = 5 * time.Second // silence inside a stream before it is resumed elsewhere
 	budgetBurst   = 20              // retries a customer and service may make at once
 )
@@ -150,22 +149,6 @@
 	}
 }
 
-// crashed reports whether the upstream's process is gone: it refuses connections, or answers as another incarnation.
-func (d *Dispatcher) crashed(u *roster.Upstream) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+"/health", nil)
-	if err != nil {
-		return false
-	}
-	resp, _, err := d.Client.Do(r)
-	if err != nil {
-		return refusedConn(err)
-	}
-	defer resp.Body.Close()
-	return resp.Header.Get(headerIncarnation) != incarnationOf(u.Announcement)
-}
-
 func refusedConn(err error) bool {
 	var op *net.OpError
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &op) && op.Op == "dial" && !op.Timeout()
