What leaves before its first word has arrived does not come back with it

Such a departure names no life, so that it was kept with life zero; when the engine's own word arrived at 24.23 s, born 3.6 s before the departure, it counted as a new life, and the engine got work 2.3 s after its departure had been acknowledged. Change: a departure of an unknown engine ends every life that began before it, by the fleet's time of day; a later one may still come under the same name.

--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -143,15 +143,16 @@
 	return a == b
 }
 
-// Depart records that the upstream n of incarnation inc takes no new work from now on.
-func (r *Roster) Depart(now time.Duration, n id.Upstream, inc uint64) {
+// Depart records that the upstream n of incarnation inc takes no new work from now on. Where inc is zero and n is not known, every
+// incarnation up to latest has ended: its announcements may still be on their way.
+func (r *Roster) Depart(now time.Duration, n id.Upstream, inc, latest uint64) {
 	r.mu.Lock()
 	h, known := r.own.list[n]
 	if known && h.announcement.Incarnation > inc && inc > 0 {
 		r.mu.Unlock()
 		return
 	}
-	a := engine.Announcement{Name: n, Incarnation: inc}
+	a := engine.Announcement{Name: n, Incarnation: cmp.Or(inc, latest)}
 	if known {
 		a = h.announcement
 	} else if u, ok := r.Snapshot().Find(n); ok {
--- a/internal/services/roster/roster_test.go
+++ b/internal/services/roster/roster_test.go
@@ -183,7 +183,7 @@
 	heard, other, asks := wide("vm0"), wide("vm1"), wide("vm2")
 	require.NoError(t, other.Announce(0, announcement("u", 1, engine.Ready)))
 	require.NoError(t, heard.Announce(time.Second, announcement("u", 1, engine.Ready)))
-	heard.Depart(2*time.Second, "u", 1)
+	heard.Depart(2*time.Second, "u", 1, 0)
 	asks.Hear(2*time.Second, other.Vouch(true))
 	require.Len(t, names(asks), 1)
 	asks.Hear(2*time.Second, heard.Vouch(true))
--- a/internal/services/roster/wide_test.go
+++ b/internal/services/roster/wide_test.go
@@ -97,7 +97,7 @@
 		require.NoError(t, c.Roster.Announce(0, announcement(n, 1, engine.Ready)))
 	}
 	f.knows(e, 3)
-	c.Roster.Depart(1, "u2", 1)
+	c.Roster.Depart(1, "u2", 1, 0)
 	require.True(t, c.Spread(t.Context(), 10*time.Second))
 	f.knows(e, 2)
 }
@@ -115,7 +115,7 @@
 	calls := c.Transport.Stats.Calls.Load()
 	var wg sync.WaitGroup
 	for i := range n {
-		c.Roster.Depart(1, id.Upstream(fmt.Sprint("u", i)), 1)
+		c.Roster.Depart(1, id.Upstream(fmt.Sprint("u", i)), 1, 0)
 	}
 	for range n {
 		wg.Go(func() { assert.True(t, c.Spread(t.Context(), 10*time.Second)) })
