What is told after an attempt stays true when the configuration changes

Ruled out: the engine's bytes (the text is our own), the caller's face (it wrote what it was given). Change: what the call has been through outlives its decisions; a refusal after an attempt cuts an answer that has begun, and otherwise says that the request may have run; a stream does not go on at another service. Test that failed before, in all three cases: TestChangeBetweenAttempts.

--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -54,30 +54,29 @@
 }
 
 // run makes attempts until the call is answered or given up.
-func (f *Forwarder) run(parent context.Context, c *Call, out Sink) error {
+func (f *Forwarder) run(parent context.Context, c *Call, p *progress, out Sink) error {
 	ctx, cancel := context.WithDeadline(parent, c.deadline.Add(-answerMargin))
 	defer cancel()
 	if len(c.trail) == 0 {
 		f.budgets.Get(c.service.ID).Earn(f.Retries.Part)
 	}
-	p := progress{tried: map[id.Upstream]bool{}}
 	for {
-		h, err := f.choose(c, &p)
+		h, err := f.choose(c, p)
 		if err != nil {
-			return f.end(parent, ctx, c, &p, err, out)
+			return f.end(parent, ctx, c, p, err, out)
 		}
 		if h.apart {
-			err = f.apart(ctx, c, h, &p, out)
+			err = f.apart(ctx, c, h, p, out)
 		} else {
-			err = f.attempt(ctx, c, h, "", &p, out)
+			err = f.attempt(ctx, c, h, "", p, out)
 		}
 		h.leave()
 		f.note(c, h, err)
 		if err == nil {
 			return nil
 		}
-		if !f.goOn(ctx, c, &p, err) {
-			return f.end(parent, ctx, c, &p, err, out)
+		if !f.goOn(ctx, c, p, err) {
+			return f.end(parent, ctx, c, p, err, out)
 		}
 	}
 }
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -70,16 +70,34 @@
 
 // Serve answers c at out. A refusal is for the caller's face to write; ErrCut and ErrGone end the connection.
 func (f *Forwarder) Serve(ctx context.Context, c *Call, out Sink) error {
+	p := progress{tried: map[id.Upstream]bool{}}
 	for range mostDecides {
-		if err := f.decide(ctx, c); err != nil {
-			return err
+		before := c.service.ID
+		err := f.decide(ctx, c)
+		if err == nil && p.begun && c.service.ID != before {
+			err = refuse(http.StatusServiceUnavailable, call.NoService, "the route leads elsewhere now")
+		}
+		if err != nil {
+			return p.late(c, err)
 		}
-		err := f.run(ctx, c, out)
+		err = f.run(ctx, c, &p, out)
 		if !errors.Is(err, errChanged) {
 			return err
 		}
 	}
-	return refuse(http.StatusServiceUnavailable, call.NoLease, "the configuration changes").After(soon)
+	return p.late(c, refuse(http.StatusServiceUnavailable, call.NoLease, "the configuration changes").After(soon))
+}
+
+// late turns a refusal into what the caller may be told after the attempts so far: an answer that has begun is cut, and a request
+// that an upstream may have run is not called one that did not run.
+func (p *progress) late(c *Call, err error) error {
+	switch {
+	case p.begun:
+		return ErrCut
+	case c.sent:
+		return failed(http.StatusBadGateway, call.Failed, true, "refused after an attempt", err)
+	}
+	return err
 }
 
 // decide finds the route, the customer, the deadline and room in the customer's rate.
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -406,6 +406,33 @@
 	})
 }
 
+// The same, where an upstream has had the request already: what the caller is told must stay true.
+func TestChangeBetweenAttempts(t *testing.T) {
+	without, moved := sampleDocument(2), sampleDocument(2)
+	without.Customers[0].Hashes = nil
+	moved.Services = append(moved.Services, service.Service{ID: "new", Kind: service.Plain})
+	for i := range moved.Routes {
+		moved.Routes[i].Parts[0].Service = "new"
+	}
+	cut := end{status: 200, stream: true, body: eventsText(1, 2), cut: true}
+	for name, d := range map[string]*document.Document{"key withdrawn": without, "route moved to another service": moved} {
+		t.Run(name+" after the first events", func(t *testing.T) {
+			var s *scene
+			s = newScene(t, cut, end{status: 200, stream: true, body: eventsText(3, 4), before: func() { s.replace(t, d) }})
+			out := &caller{}
+			require.ErrorIs(t, s.Serve(context.Background(), request("/resumable/"), out), ErrCut)
+			require.Equal(t, eventsText(1, 2), out.body.String())
+			require.Equal(t, 1, out.begun)
+		})
+	}
+	t.Run("key withdrawn after a first attempt without an answer", func(t *testing.T) {
+		var s *scene
+		s = newScene(t, end{fail: true, sent: true}, end{status: 200, before: func() { s.replace(t, without) }})
+		r := refusal(t, s.Serve(context.Background(), request("/resumable/"), &caller{}))
+		require.Equal(t, call.Unknown, r.Run, "it may have run")
+	})
+}
+
 func TestDeadline(t *testing.T) {
 	s := newScene(t, end{tooLate: true})
 	q := request("/unsafe/")
