One order of control VMs that a VM tries, one sum of loads

Found when the whole change was read again: "those of the own data centre first, spread by rendezvous hashing" stood in roster and in tally, the list of control VMs in both and the count of the others in tally and in the VM, and the sum of loads three times in the hub. Now state.ControlVMs, state.Entries and state.Near, and tally's total.

--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
@@ -87,13 +88,7 @@
 
 // entries returns how many VMs send requests to upstreams.
 func (v *VM) entries() int {
-	n := 0
-	for _, m := range v.authority.State().Members() {
-		if !m.Control {
-			n++
-		}
-	}
-	return max(1, n)
+	return max(1, state.Entries(v.authority.State().Members()))
 }
 
 // running returns the callers' requests in progress.
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +11,6 @@
 
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
-	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
@@ -176,13 +176,7 @@
 
 // control returns the other control VMs.
 func (g *Gossip) control() []state.Member {
-	var list []state.Member
-	for vm, m := range g.Members() {
-		if m.Control && vm != g.VM {
-			list = append(list, m)
-		}
-	}
-	return list
+	return slices.DeleteFunc(state.ControlVMs(g.Members()), func(m state.Member) bool { return m.VM == g.VM })
 }
 
 // askWide renews the words of the control VMs: a control VM asks each, another VM one of them and only those whose word
@@ -193,12 +187,11 @@
 		g.askAll(ctx)
 		return
 	}
-	list := g.control()
-	relay, ok := nearest(list, g.VM, g.Zone)
-	if !ok {
+	list := state.Near(g.control(), g.VM, g.Zone)
+	if len(list) == 0 {
 		return
 	}
-	words := g.words(ctx, relay)
+	words := g.words(ctx, list[0])
 	for _, m := range list {
 		s, ok := words[m.VM]
 		if ok && s.Age < relayedAge && g.Roster.Hear(clock.Boot()-s.Age, Vouch{VM: s.VM, Epoch: s.Epoch, Version: s.Version}) {
@@ -223,21 +216,6 @@
 	return words
 }
 
-// nearest picks one of list for vm: of its zone, where that has any, and so that the VMs spread over them (rendezvous
-// hashing, Thaler and Ravishankar 1998).
-func nearest(list []state.Member, vm id.VM, zone id.Zone) (state.Member, bool) {
-	var best state.Member
-	most := uint64(0)
-	for _, m := range list {
-		h := hash.Pair(hash.String(vm), hash.String(m.VM))
-		near, nearer := m.Zone == zone, best.Zone == zone
-		if best.VM == "" || near && !nearer || near == nearer && h > most {
-			best, most = m, h
-		}
-	}
-	return best, best.VM != ""
-}
-
 func (g *Gossip) ask(ctx context.Context, m state.Member) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/services/roster/gossip_test.go
+++ b/internal/services/roster/gossip_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/models/engine"
-	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/id"
 )
 
@@ -64,20 +63,3 @@
 	to.Expire(Vouching + 1)
 	require.Empty(t, names(to))
 }
-
-func TestNearest(t *testing.T) {
-	list := []state.Member{{VM: "c1", Zone: "a"}, {VM: "c2", Zone: "a"}, {VM: "c3", Zone: "b"}, {VM: "c4", Zone: "b"}}
-	picked := map[id.VM]int{}
-	for i := range 200 {
-		m, ok := nearest(list, id.VM(fmt.Sprint("vm", i)), "b")
-		require.True(t, ok)
-		picked[m.VM]++
-	}
-	require.Len(t, picked, 2, "only those of its zone")
-	require.Greater(t, picked["c3"], 50)
-	require.Greater(t, picked["c4"], 50)
-	m, ok := nearest(list[:2], "vm1", "b")
-	require.True(t, ok, "another zone's where its own has none: %s", m.VM)
-	_, ok = nearest(nil, "vm1", "b")
-	require.False(t, ok)
-}
--- a/internal/services/roster/wide_test.go
+++ b/internal/services/roster/wide_test.go
@@ -74,8 +74,7 @@
 	require.Equal(t, calls+5, e.Transport.Stats.Calls.Load())
 
 	t.Run("a relay that does not answer", func(t *testing.T) {
-		relay, ok := nearest(e.control(), e.VM, e.Zone)
-		require.True(t, ok)
+		relay := state.Near(e.control(), e.VM, e.Zone)[0]
 		for _, g := range control {
 			if g.VM == relay.VM {
 				g.Transport.Close()
--- a/internal/services/tally/hub.go
+++ b/internal/services/tally/hub.go
@@ -13,7 +13,7 @@
 	mu    sync.Mutex
 	epoch uint64
 	heard map[id.VM]heard
-	sum   map[id.Upstream]Load // over all of heard
+	sum   total // over all of heard
 	ring  []ringed
 	next  uint64 // number of the next placement
 	read  map[id.Service]*rate
@@ -129,10 +129,10 @@
 // take puts x in the place of what from told before.
 func (h *hub) take(from id.VM, x heard) {
 	if h.heard == nil {
-		h.heard, h.sum = map[id.VM]heard{}, map[id.Upstream]Load{}
+		h.heard, h.sum = map[id.VM]heard{}, total{}
 	}
-	h.count(h.heard[from].loads, -1)
-	h.count(x.loads, 1)
+	h.sum.add(h.heard[from].loads, -1)
+	h.sum.add(x.loads, 1)
 	h.heard[from] = x
 }
 
@@ -140,36 +140,34 @@
 func (h *hub) forget(now time.Duration) {
 	for vm, x := range h.heard {
 		if now-x.at > memory {
-			h.count(x.loads, -1)
+			h.sum.add(x.loads, -1)
 			delete(h.heard, vm)
 		}
 	}
 }
 
-// count adds loads to the sum, times sign.
-func (h *hub) count(loads []Load, sign int64) {
-	for _, l := range loads {
-		t := h.sum[l.Upstream]
-		t.Upstream = l.Upstream
-		t.Requests += sign * l.Requests
-		t.Reading += sign * l.Reading
-		if t.Requests == 0 && t.Reading == 0 {
-			delete(h.sum, l.Upstream)
+// total is work by upstream; an upstream without any is left out.
+type total map[id.Upstream]Load
+
+// add adds list, times sign.
+func (t total) add(list []Load, sign int64) {
+	for _, l := range list {
+		x := t[l.Upstream]
+		x.Upstream = l.Upstream
+		x.Requests += sign * l.Requests
+		x.Reading += sign * l.Reading
+		if x.Requests == 0 && x.Reading == 0 {
+			delete(t, l.Upstream)
 			continue
 		}
-		h.sum[l.Upstream] = t
+		t[l.Upstream] = x
 	}
 }
 
 // others returns the outstanding work of all VMs less own.
 func (h *hub) others(own []Load) []Load {
-	less := make(map[id.Upstream]Load, len(own))
-	for _, l := range own {
-		t := less[l.Upstream]
-		t.Requests += l.Requests
-		t.Reading += l.Reading
-		less[l.Upstream] = t
-	}
+	less := make(total, len(own))
+	less.add(own, 1)
 	list := make([]Load, 0, len(h.sum))
 	for n, t := range h.sum {
 		t.Requests -= less[n].Requests
--- a/internal/services/tally/share.go
+++ b/internal/services/tally/share.go
@@ -1,7 +1,6 @@
 package tally
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -11,7 +10,6 @@
 
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
-	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/peer"
 )
@@ -44,14 +42,10 @@
 
 // local adds up the work of this hub's own VMs.
 func (h *hub) local() []Load {
-	sum := map[id.Upstream]Load{}
+	sum := total{}
 	for _, x := range h.heard {
-		if x.hub {
-			continue
-		}
-		for _, l := range x.loads {
-			t := sum[l.Upstream]
-			sum[l.Upstream] = Load{Upstream: l.Upstream, Requests: t.Requests + l.Requests, Reading: t.Reading + l.Reading}
+		if !x.hub {
+			sum.add(x.loads, 1)
 		}
 	}
 	return slices.Collect(maps.Values(sum))
@@ -96,39 +90,15 @@
 }
 
 // spread reports whether every control VM is a hub.
-func spread(members map[id.VM]state.Member) bool {
-	n := 0
-	for _, m := range members {
-		if !m.Control {
-			n++
-		}
-	}
-	return n > hubVMs
-}
+func spread(members map[id.VM]state.Member) bool { return state.Entries(members) > hubVMs }
 
-// hubsFor returns the control VMs in the order in which vm tries them: all VMs in the same one, or, where hubs share the work,
-// those of its data centre first, and so that the VMs spread over them (rendezvous hashing, Thaler and Ravishankar 1998).
+// hubsFor returns the control VMs in the order in which vm tries them: all VMs in the same one, or, where hubs share the work, those
+// near to it first.
 func hubsFor(vm id.VM, members map[id.VM]state.Member) []state.Member {
-	var list []state.Member
-	for _, m := range members {
-		if m.Control {
-			list = append(list, m)
-		}
-	}
-	slices.SortFunc(list, func(a, b state.Member) int { return cmp.Compare(a.VM, b.VM) })
-	if !spread(members) {
-		return list
-	}
-	zone, own := members[vm].Zone, hash.String(vm)
-	far := func(m state.Member) int {
-		if m.Zone == zone {
-			return 0
-		}
-		return 1
+	list := state.ControlVMs(members)
+	if spread(members) {
+		list = state.Near(list, vm, members[vm].Zone)
 	}
-	slices.SortStableFunc(list, func(a, b state.Member) int {
-		return cmp.Or(far(a)-far(b), cmp.Compare(hash.Pair(own, hash.String(b.VM)), hash.Pair(own, hash.String(a.VM))))
-	})
 	return list
 }
 
@@ -141,8 +111,8 @@
 	if e.busy == nil {
 		e.busy = map[id.VM]chan struct{}{}
 	}
-	for _, m := range members {
-		if !m.Control || m.VM == e.VM {
+	for _, m := range state.ControlVMs(members) {
+		if m.VM == e.VM {
 			continue
 		}
 		if done, ok := e.busy[m.VM]; ok && !closed(done) {
