Log each crash check and each report of a crash with the request's fingerprint

Now attempts, checks, reports and rejections carry the fingerprint, each check logs and counts its result, and the size of the list is a metric. No decision is changed; the tests of forward, routers/vm and platform (soak left out) pass.

--- a/internal/routers/vm/metrics.go
+++ b/internal/routers/vm/metrics.go
@@ -32,5 +32,6 @@
 	}
 	fmt.Fprintf(w, "wagtaillift_leading %d\n", leading)
 	fmt.Fprintf(w, "wagtaillift_requests_running %d\n", v.runningRequests())
+	fmt.Fprintf(w, "wagtaillift_quarantine_records %d\n", v.quarantineList.Len())
 	fmt.Fprintf(w, "wagtaillift_upstreams %d\n", len(v.roster.Snapshot().All))
 }
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -183,10 +183,13 @@
 		}
 		return v.quarantineList.Reserve(clock.SinceBoot(), r.Upstream, r.Fingerprint), nil
 	})
-	peer.Handle(v.transport, methodReportCrash, func(_ context.Context, _ id.VM, r quarantineMessage) (bool, error) {
-		return v.quarantineList.RecordCrash(clock.SinceBoot(), r.Fingerprint, r.Hold), nil
+	peer.Handle(v.transport, methodReportCrash, func(_ context.Context, from id.VM, r quarantineMessage) (bool, error) {
+		refused := v.quarantineList.RecordCrash(clock.SinceBoot(), r.Fingerprint, r.Hold)
+		klog.InfoS("Crash reported", "from", from, "fingerprint", r.Fingerprint, "crashes", v.quarantineList.Crashes(r.Fingerprint), "refused", refused)
+		return refused, nil
 	})
-	peer.Handle(v.transport, methodQuarantine, func(_ context.Context, _ id.VM, r quarantineMessage) (bool, error) {
+	peer.Handle(v.transport, methodQuarantine, func(_ context.Context, from id.VM, r quarantineMessage) (bool, error) {
+		klog.InfoS("Quarantine reported", "from", from, "fingerprint", r.Fingerprint, "for", r.Hold)
 		v.quarantineList.AddRefused(clock.SinceBoot(), r.Fingerprint, r.Hold)
 		return true, nil
 	})
@@ -294,7 +297,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 			defer cancel()
 			if _, err := peer.Call[bool](ctx, v.transport, to, method, message); err != nil {
-				klog.InfoS("Quarantine message not delivered", "method", method, "peer", to, "err", err)
+				klog.InfoS("Quarantine message not delivered", "method", method, "peer", to, "fingerprint", message.Fingerprint, "err", err)
 			}
 		}()
 	}
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -267,6 +267,9 @@
 	stillWanted := ctx.Err() == nil || errors.Is(err, errSilent)
 	switch {
 	case errors.Is(err, upstream.ErrNotAllowed) || errors.Is(err, upstream.ErrTooManyConns) || !stillWanted:
+		if sent {
+			f.logCrashCheck(c, sel, checkUnwanted)
+		}
 	case !sent:
 		sel.u.Stats.RecordOutcome(true)
 		sel.u.Stats.OpenCircuit(clock.SinceBoot())
@@ -274,7 +277,7 @@
 		sel.u.Stats.RecordOutcome(true)
 		go f.checkCrash(c, sel)
 	}
-	klog.InfoS("Attempt failed", "request", c.ID, "upstream", sel.u.Name, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
+	klog.InfoS("Attempt failed", "request", c.ID, "fingerprint", c.print(), "upstream", sel.u.Name, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
 	return &attemptError{err: err, sent: sent}
 }
 
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -118,6 +118,7 @@
 		c.deadline = c.Start.Add(c.CallerTimeout)
 	}
 	if wait, refused := f.Quarantine.Refused(clock.SinceBoot(), c.print()); refused {
+		klog.InfoS("Request rejected: it crashed the upstreams that ran it", "request", c.ID, "fingerprint", c.print(), "crashes", f.Quarantine.Crashes(c.print()), "for", wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 	}
 	if !first || c.customer.ID == "" {
@@ -223,7 +224,7 @@
 	if err != nil {
 		outcome = err.Error()
 	}
-	klog.InfoS("Request finished", "request", c.ID, "customer", c.customer.ID, "service", c.service.ID, "route", c.routeName(),
+	klog.InfoS("Request finished", "request", c.ID, "fingerprint", c.print(), "customer", c.customer.ID, "service", c.service.ID, "route", c.routeName(),
 		"version", c.configVersion(), "first", c.firstEventDelay.Round(time.Millisecond), "took", now.Sub(c.Start).Round(time.Millisecond), "events", c.events, "attempts", c.attempts, "outcome", outcome)
 }
 
--- a/internal/services/forward/silence.go
+++ b/internal/services/forward/silence.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
@@ -56,25 +57,49 @@
 	maxCrashHold     = time.Minute // maximum time for which a request that crashed two upstreams is refused
 )
 
+// Results of a check whether an upstream crashed.
+const (
+	checkRefused     = "refused"        // the connection was refused: the process is gone
+	checkAccepted    = "accepted"       // the upstream accepted a connection
+	checkUnreachable = "unreachable"    // no answer to the connection attempt
+	checkLeaving     = "leaving"        // not checked: the upstream has announced its departure
+	checkUnwanted    = "unwanted"       // not checked: the caller or the deadline ended the attempt
+	checkNoPrint     = "no_fingerprint" // not checked: the request has no fingerprint
+)
+
+// logCrashCheck logs and counts the result of a check.
+func (f *Forwarder) logCrashCheck(c *Call, sel *selection, result string) {
+	metrics.GetOrCreateCounter(`wagtaillift_crash_checks_total{result="` + result + `"}`).Inc()
+	klog.InfoS("Crash check", "upstream", sel.u.Name, "incarnation", sel.u.Incarnation, "request", c.ID, "fingerprint", c.print(), "result", result)
+}
+
 // checkCrash connects to the upstream of a failed attempt. If that fails, the circuit is opened. If the connection is
 // refused, the upstream's process is gone, and c is recorded in the quarantine list as a possible cause.
 func (f *Forwarder) checkCrash(c *Call, sel *selection) {
 	p := c.print()
-	if p == 0 || f.Roster.Leaving(sel.u.Name) {
+	if p == 0 {
+		f.logCrashCheck(c, sel, checkNoPrint)
+		return
+	}
+	if f.Roster.Leaving(sel.u.Name) {
+		f.logCrashCheck(c, sel, checkLeaving)
 		return
 	}
 	conn, err := net.DialTimeout("tcp", sel.u.Address, crashDialTimeout)
 	if err == nil {
+		f.logCrashCheck(c, sel, checkAccepted)
 		conn.Close()
 		return
 	}
 	sel.u.Stats.OpenCircuit(clock.SinceBoot())
 	if !errors.Is(err, syscall.ECONNREFUSED) {
+		f.logCrashCheck(c, sel, checkUnreachable)
 		return
 	}
+	f.logCrashCheck(c, sel, checkRefused)
 	hold := min(maxCrashHold, c.config.ResolveDuration(policy.Quarantine, c.customer.ID, c.service.ID))
 	refused := f.Quarantine.RecordCrash(clock.SinceBoot(), p, hold)
-	klog.InfoS("Upstream crashed", "upstream", sel.u.Name, "address", sel.u.Address, "request", c.ID, "refused", refused)
+	klog.InfoS("Upstream crashed", "upstream", sel.u.Name, "address", sel.u.Address, "request", c.ID, "fingerprint", p, "crashes", f.Quarantine.Crashes(p), "refused", refused)
 	if f.ReportCrash != nil {
 		f.ReportCrash(p, hold)
 	}
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 // Fingerprint is a hash of a request's customer, service and body.
 type Fingerprint uint64
 
+// String returns p in hexadecimal, as in log lines.
+func (p Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
 const (
 	crashesToRefuse = 2                // crashes after which a request is refused
 	suspectTTL      = 10 * time.Minute // how long a request stays a suspect after a crash
@@ -86,6 +90,20 @@
 	return r.until - now, true
 }
 
+// Crashes returns how many crashes of upstreams are recorded for p, whether or not the record has expired.
+func (l *List) Crashes(p Fingerprint) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[p].crashes
+}
+
+// Len returns the number of records.
+func (l *List) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
 // IsSuspect reports whether p recently ran on an engine that crashed.
 func (l *List) IsSuspect(now time.Duration, p Fingerprint) bool {
 	l.mu.Lock()
