--- a/internal/routers/vm/vm_test.go
+++ b/internal/routers/vm/vm_test.go
@@ -283,6 +283,29 @@
 	})
 }
 
+// A VM that joins after the crashes must not send the request once more.
+func TestQuarantineReachesNewVM(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range 4 {
+		f.startEngine(i, emulate.Faults{Crash: "poison"})
+	}
+	f.waitForUpstreams(4)
+	resp, body := f.callVM(f.vms[0], "POST", "/v1/chat/completions", f.secrets["two"], chatBody("poison", 50, false))
+	requireRefusal(t, resp, body, http.StatusUnprocessableEntity, call.Quarantined, call.RunYes)
+	v := f.addVM(2)
+	f.waitUntil("the new VM serves", func() bool {
+		resp, _ := f.callVM(v, "POST", "/v1/chat/completions", f.secrets["one"], chatBody("neighbour", 5, false))
+		return resp.StatusCode == http.StatusOK
+	})
+	resp, body = f.callVM(v, "POST", "/v1/chat/completions", f.secrets["two"], chatBody("poison", 50, false))
+	requireRefusal(t, resp, body, http.StatusUnprocessableEntity, call.Quarantined, call.RunNo)
+	crashes := int64(0)
+	for _, e := range f.engines {
+		crashes += e.Stats().Crashes
+	}
+	require.EqualValues(t, 2, crashes)
+}
+
 // TestStopFinishesRunningStreams stops a VM and an engine gracefully under load: no stream may be truncated.
 func TestStopFinishesRunningStreams(t *testing.T) {
 	f := newFleet(t, 2)
--- /dev/null
+++ b/internal/services/forward/crash_test.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/roster"
+)
+
+// refusingAddress returns an address that refuses connections.
+func refusingAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newCrashedFixture returns a fixture whose upstreams refuse connections, as after a crash.
+func newCrashedFixture(t *testing.T, steps ...sendResult) *fixture {
+	s := newFixture(t, steps...)
+	s.Roster = roster.NewMultiZone("vm1", 1, time.Minute, func() {})
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		a := newAnnouncement(name, app, "")
+		a.Address = refusingAddress(t)
+		require.NoError(t, s.Roster.Announce(clock.SinceBoot(), a))
+	}
+	return s
+}
+
+// crashResult is the result of a send to an upstream that crashes while it runs the request.
+var crashResult = sendResult{fail: true, sent: true}
+
+// requireRefusedAfterCrashes sends the call until it is refused as quarantined.
+func (s *fixture) requireRefusedAfterCrashes(t *testing.T, newCall func() *Call) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		s.up.steps = []sendResult{crashResult}
+		r := requireRefusal(t, s.Serve(context.Background(), newCall(), &fakeSink{}))
+		return r.Code == call.Quarantined
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+func TestCrashingRequestIsRefused(t *testing.T) {
+	for name, body := range map[string]string{"with a body": "crashing", "without a body": ""} {
+		t.Run(name, func(t *testing.T) {
+			s := newCrashedFixture(t)
+			s.requireRefusedAfterCrashes(t, func() *Call {
+				c := newCall("/unsafe/")
+				c.Body = []byte(body)
+				return c
+			})
+		})
+	}
+}
+
+// A request that waits, or is between two attempts, while another VM reports its crashes.
+func TestQuarantinedRequestIsNotSent(t *testing.T) {
+	t.Run("before its first send", func(t *testing.T) {
+		c := newCall("/safe/")
+		var s *fixture
+		s = newFixture(t, sendResult{status: 200, beforeWrite: func() { s.quarantineCall(c) }})
+		c.Body = []byte("crashing")
+		r := requireRefusal(t, s.Serve(context.Background(), c, &fakeSink{}))
+		require.Equal(t, call.Quarantined, r.Code)
+		require.Equal(t, call.RunNo, r.Run)
+	})
+	t.Run("between two attempts", func(t *testing.T) {
+		c := newCall("/safe/")
+		var s *fixture
+		s = newFixture(t, crashResult, sendResult{status: 200, beforeWrite: func() { s.quarantineCall(c) }})
+		c.Body = []byte("crashing")
+		r := requireRefusal(t, s.Serve(context.Background(), c, &fakeSink{}))
+		require.Equal(t, http.StatusBadGateway, r.Status)
+		require.NotEqual(t, call.RunNo, r.Run)
+	})
+}
