Read the list of refused requests right before each send

What callers and upstreams saw: a request that was refused meanwhile, because it had crashed upstreams, was still sent by a VM on which it waited for its rate, its lease or its place, or was between two attempts. Cause: the list was read once, when the request was admitted. Lease, route and key are read again right before the write, as the VM may have waited or stood still; the list was not. Fix: the same last check reads the list, on both ways to upstreams (forward: Allow; dispatch: after the choice and the pause).

--- a/internal/services/dispatch/crashed.go
+++ b/internal/services/dispatch/crashed.go
@@ -5,7 +5,10 @@
 	"net/http"
 	"time"
 
+	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/pause"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -45,3 +48,13 @@
 	defer resp.Body.Close()
 	return resp.Header.Get(headerIncarnation) != incarnationOf(u.Announcement)
 }
+
+// checkQuarantine returns the refusal of a request that crashed the upstreams that ran it. It is called at the start of a
+// call and again right before each send, because the call may have waited in between.
+func (d *Dispatcher) checkQuarantine(p quarantine.Fingerprint) error {
+	wait, refused := d.Quarantine.Refused(clock.SinceBoot(), p)
+	if !refused {
+		return nil
+	}
+	return call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
+}
--- a/internal/services/dispatch/crashed_test.go
+++ b/internal/services/dispatch/crashed_test.go
@@ -1,16 +1,21 @@
 package dispatch
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/upstream"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -55,3 +60,24 @@
 	defer d.Client.CloseIdle()
 	require.False(t, d.crashed(u))
 }
+
+// Guards against sending a call that became refused while it waited for its upstream.
+func TestQuarantinedCallIsNotSent(t *testing.T) {
+	b := newTestFleet(t, []fault{healthy})
+	defer b.close()
+	own := quarantine.NewFingerprint("", "s", []byte(http.MethodPut+"/x\n"+retryBody))
+	b.d.Quarantine.RecordCrash(clock.SinceBoot(), own, time.Minute)
+	b.d.ReserveOnPeers = func(_ id.Upstream, _ quarantine.Fingerprint, reserve bool) bool {
+		if reserve {
+			b.d.Quarantine.RecordCrash(clock.SinceBoot(), own, time.Minute)
+		}
+		return true
+	}
+	_, err := b.d.RunPlain(context.Background(), b.newRetryableCall())
+	var r *call.Refusal
+	require.True(t, errors.As(err, &r))
+	require.Equal(t, call.Quarantined, r.Code)
+	require.Equal(t, call.RunNo, r.Run)
+	total, _ := b.received("name=1")
+	require.Zero(t, total)
+}
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -32,9 +32,8 @@
 // to out, which must report errors that occur after the first chunk.
 func (d *Dispatcher) RunModel(ctx context.Context, c *call.Call, out Sink) error {
 	p := quarantine.NewFingerprint(c.Customer, c.Service.ID, c.Body)
-	if wait, refused := d.Quarantine.Refused(clock.SinceBoot(), p); refused {
-		return call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step,
-			"this request crashed the engines that ran it").WithRetryAfter(wait)
+	if err := d.checkQuarantine(p); err != nil {
+		return err
 	}
 	d.budgets.Get(budgetOf(c)).Earn(c.Config.Resolve(policy.RetryRatio, c.Customer, c.Service.ID).Value)
 	var pr progress
@@ -120,6 +119,9 @@
 	}
 	defer unreserve()
 	pr.waitBeforeRetry(ctx, tried[u.Name])
+	if err := d.checkQuarantine(p); err != nil {
+		return err
+	}
 	tried[u.Name] = true
 	err = d.stream(ctx, c, u, out, pr)
 	recordAttempt(c, ch, err)
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -54,9 +54,8 @@
 // RunPlain runs a call to an application. A non-idempotent call is retried only if no byte of it was sent.
 func (d *Dispatcher) RunPlain(ctx context.Context, c *call.Call) (*Answer, error) {
 	p := quarantine.NewFingerprint(c.Customer, c.Service.ID, append([]byte(c.R.Method+c.Path+"\n"), c.Body...))
-	if wait, refused := d.Quarantine.Refused(clock.SinceBoot(), p); refused {
-		return nil, call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step,
-			"this request crashed the upstreams that ran it").WithRetryAfter(wait)
+	if err := d.checkQuarantine(p); err != nil {
+		return nil, err
 	}
 	d.budgets.Get(budgetOf(c)).Earn(c.Config.Resolve(policy.RetryRatio, c.Customer, c.Service.ID).Value)
 	var pr progress
@@ -98,6 +97,9 @@
 	}
 	defer unreserve()
 	pr.waitBeforeRetry(ctx, tried[u.Name])
+	if err := d.checkQuarantine(p); err != nil {
+		return nil, false, err
+	}
 	tried[u.Name] = true
 	a, sent, err := d.roundTrip(ctx, c, u)
 	pr.sent, pr.now = pr.sent || sent, sent
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -30,7 +30,7 @@
 )
 
 // errConfigChanged means that the request was not sent because the decision made for it no longer holds.
-const errConfigChanged = errors.ConstError("the configuration changed before the request was sent")
+const errConfigChanged = errors.ConstError("the decision for the request changed before it was sent")
 
 // errSilent ends an attempt at a silent upstream so that another one can be tried.
 const errSilent = errors.ConstError("the upstream fell silent")
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -117,7 +117,7 @@
 	if c.CallerTimeout > 0 && c.CallerTimeout < c.route.Timeout {
 		c.deadline = c.Start.Add(c.CallerTimeout)
 	}
-	if wait, refused := f.Quarantine.Refused(clock.SinceBoot(), c.print()); refused {
+	if wait, refused := f.quarantined(c); refused {
 		klog.InfoS("Request rejected: it crashed the upstreams that ran it", "request", c.ID, "fingerprint", c.print(), "crashes", f.Quarantine.Crashes(c.print()), "for", wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 	}
@@ -157,12 +157,20 @@
 	return call.Refuse(status, code, step, "%s", reason)
 }
 
-// stillAllowed reports whether the decision for c still holds. It is called right before c is sent, because the process
-// may have been suspended since the decision.
+// quarantined returns for how much longer c is refused because it crashed the upstreams that ran it.
+func (f *Forwarder) quarantined(c *Call) (time.Duration, bool) {
+	return f.Quarantine.Refused(clock.SinceBoot(), c.print())
+}
+
+// stillAllowed reports whether the decision for c still holds. It is called right before c is sent, because c may have
+// waited or the process may have been suspended since the decision.
 func (f *Forwarder) stillAllowed(c *Call) bool {
 	if !f.Guard.Leased(clock.SinceBoot(), 0) {
 		return false
 	}
+	if _, refused := f.quarantined(c); refused {
+		return false
+	}
 	cfg := f.Config()
 	if cfg == c.config {
 		return true
