Keep crashes of upstreams in the replicated log, one record for each incarnation

Cause: counts lived in the memory of each VM, were sent once to each member and added up, so that restarts and lost messages lost them and repeats doubled them. After a minute every VM let the request run again. Class: state that protects the whole fleet, kept by each VM for itself and passed on once. Two crashes one after the other refuse for a minute, a third for the quarantine of the policy. Crashes at the same moment count once and a completed run clears the request, so that frequent requests on upstreams that end for another reason are not refused. The OpenAI face uses the same list and reports. The peer messages 'crash' and 'refuse' are replaced by 'suspects'; during a rolling upgrade VMs of both versions log that they do not know the other's. Ruled out: an exchange of lists between VMs, since nothing is left when all end at once.

--- a/internal/models/state/command.go
+++ b/internal/models/state/command.go
@@ -14,25 +14,27 @@
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/service"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/id"
 )
 
 // Command is one entry of the replicated log. Exactly one field is set.
 type Command struct {
-	Change  *Change  `json:"change,omitempty"`
-	Join    *Member  `json:"join,omitempty"`
-	Leave   *Leave   `json:"leave,omitempty"`
-	Acquire *Acquire `json:"acquire,omitempty"`
-	Release *Release `json:"release,omitempty"`
-	Expire  *Expire  `json:"expire,omitempty"`
-	Claim   *Claim   `json:"claim,omitempty"`
-	Settle  *Settle  `json:"settle,omitempty"`
-	Usage   *Usage   `json:"usage,omitempty"`
-	Seal    *Seal    `json:"seal,omitempty"`
-	Ack     *Ack     `json:"ack,omitempty"`
-	Intent  *Intent  `json:"intent,omitempty"`
-	Outcome *Outcome `json:"outcome,omitempty"`
+	Change  *Change         `json:"change,omitempty"`
+	Join    *Member         `json:"join,omitempty"`
+	Leave   *Leave          `json:"leave,omitempty"`
+	Acquire *Acquire        `json:"acquire,omitempty"`
+	Release *Release        `json:"release,omitempty"`
+	Expire  *Expire         `json:"expire,omitempty"`
+	Claim   *Claim          `json:"claim,omitempty"`
+	Settle  *Settle         `json:"settle,omitempty"`
+	Usage   *Usage          `json:"usage,omitempty"`
+	Seal    *Seal           `json:"seal,omitempty"`
+	Ack     *Ack            `json:"ack,omitempty"`
+	Intent  *Intent         `json:"intent,omitempty"`
+	Outcome *Outcome        `json:"outcome,omitempty"`
+	Report  *suspect.Report `json:"report,omitempty"`
 }
 
 // Change alters the configuration. Exactly one of the fields after Reason is set.
--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -1,5 +1,5 @@
 // Package state implements the deterministic state machine that applies the replicated log. It holds the configuration,
-// members, leases, claims, orders and usage.
+// members, leases, claims, orders, usage and requests that crashed upstreams.
 package state
 
 import (
@@ -13,6 +13,7 @@
 	"wagtaillift/internal/models/claim"
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/order"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/rcu"
@@ -41,6 +42,7 @@
 	CompactedCounts map[customerService]usage.Count `json:"settled,omitempty"` // sums of the counters that were removed from Counts
 	ReportedTotals  map[customerService]usage.Count `json:"reported"`          // totals over all sealed windows
 	UsageReports    []usage.Report                  `json:"reports"`
+	Suspects        suspect.Table                   `json:"suspects,omitempty"`
 	Answers         map[id.Request]Result           `json:"answers"` // results of configuration changes
 	AnswerQueue     []id.Request                    `json:"asked"`   // keys of Answers, oldest first
 }
@@ -56,9 +58,11 @@
 	mu           sync.Mutex
 	t            tables
 	unpublished  bool // changes were applied after the last Publish
+	newSuspects  bool // the same for suspects
 	config       rcu.Value[*Config]
 	members      rcu.Value[map[id.VM]Member]
 	latestOrders rcu.Value[map[id.Upstream]order.Order]
+	suspects     rcu.Value[suspect.Table]
 }
 
 // New returns an empty machine.
@@ -73,9 +77,10 @@
 		Counts:          map[usage.Source]usage.Count{},
 		CompactedCounts: map[customerService]usage.Count{},
 		ReportedTotals:  map[customerService]usage.Count{},
+		Suspects:        suspect.Table{},
 		Answers:         map[id.Request]Result{},
 	}
-	m.unpublished = true
+	m.unpublished, m.newSuspects = true, true
 	m.Publish()
 	return m
 }
@@ -123,6 +128,9 @@
 // LatestOrders returns the published map of the last order to each upstream. It takes no lock.
 func (m *Machine) LatestOrders() map[id.Upstream]order.Order { return m.latestOrders.Load() }
 
+// Suspects returns the published requests that ran on upstreams that crashed. It takes no lock.
+func (m *Machine) Suspects() suspect.Table { return m.suspects.Load() }
+
 // Orders returns the last order to each upstream.
 func (m *Machine) Orders() []order.Order {
 	m.mu.Lock()
@@ -148,10 +156,14 @@
 	return m.t.Counts[src]
 }
 
-// Publish makes the applied changes visible to Config, Members and LatestOrders.
+// Publish makes the applied changes visible to Config, Members, LatestOrders and Suspects.
 func (m *Machine) Publish() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.newSuspects {
+		m.newSuspects = false
+		m.suspects.Store(maps.Clone(m.t.Suspects))
+	}
 	if !m.unpublished {
 		return
 	}
@@ -218,6 +230,9 @@
 		return m.commitOrder(i, *c.Intent)
 	case c.Outcome != nil:
 		return m.finishOrder(*c.Outcome)
+	case c.Report != nil:
+		m.newSuspects = m.t.Suspects.Apply(*c.Report) || m.newSuspects
+		return ok()
 	}
 	return Result{Code: Invalid, Message: "empty command"}
 }
@@ -400,11 +415,11 @@
 	}
 	m.t = n.t
 	m.t.initMissingMaps()
-	m.unpublished = true
+	m.unpublished, m.newSuspects = true, true
 	return nil
 }
 
-// initMissingMaps creates the maps that a follower snapshot omits.
+// initMissingMaps creates the maps that a follower snapshot or one of an earlier version omits.
 func (t *tables) initMissingMaps() {
 	empty := New().t
 	if t.Claims == nil {
@@ -416,6 +431,9 @@
 	if t.CompactedCounts == nil {
 		t.CompactedCounts = empty.CompactedCounts
 	}
+	if t.Suspects == nil {
+		t.Suspects = empty.Suspects
+	}
 	if t.Answers == nil {
 		t.Answers = empty.Answers
 	}
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -43,8 +43,7 @@
 // Peer methods, timeouts and limits.
 const (
 	methodHoldUsage   = "hold"
-	methodQuarantine  = "refuse"
-	methodReportCrash = "crash"
+	methodSuspects    = "suspects"
 	methodReserve     = "isolate"
 	reserveTimeout    = 300 * time.Millisecond
 	peerTimeout       = time.Second
@@ -68,6 +67,7 @@
 	burn           *burn.Meter
 	requestlog     *requestlog.Journal
 	quarantineList *quarantine.List
+	sharer         *quarantine.Sharer
 	orders         *order.Service
 	stopping       atomic.Bool
 	unhealthy      atomic.Bool
@@ -108,6 +108,7 @@
 	}
 	v.buildRoster(inc)
 	v.buildUsageMeter(inc)
+	v.buildQuarantine()
 	v.buildLimits()
 	if cfg.API == apiPlatform {
 		v.buildPlatform(inc)
@@ -166,7 +167,7 @@
 	v.gossip.Register()
 }
 
-// buildUsageMeter creates the usage meter, and registers the peer methods for copies of usage counts and for quarantined requests.
+// buildUsageMeter creates the usage meter, and registers the peer method for copies of usage counts.
 func (v *VM) buildUsageMeter(inc id.Incarnation) {
 	a := v.authority
 	v.meter = &billing.Meter{VM: a.VM(), Incarnation: inc, SendCopy: v.sendUsage}
@@ -176,59 +177,6 @@
 		v.meter.Hold(list)
 		return true, nil
 	})
-	peer.Handle(v.transport, methodReserve, func(_ context.Context, _ id.VM, r reservationMessage) (bool, error) {
-		if !r.Reserve {
-			v.quarantineList.Release(r.Upstream, r.Fingerprint)
-			return true, nil
-		}
-		return v.quarantineList.Reserve(clock.SinceBoot(), r.Upstream, r.Fingerprint), nil
-	})
-	peer.Handle(v.transport, methodReportCrash, func(_ context.Context, from id.VM, r quarantineMessage) (bool, error) {
-		refused := v.quarantineList.RecordCrash(clock.SinceBoot(), r.Fingerprint, r.Hold)
-		klog.InfoS("Crash reported", "from", from, "fingerprint", r.Fingerprint, "crashes", v.quarantineList.Crashes(r.Fingerprint), "refused", refused)
-		return refused, nil
-	})
-	peer.Handle(v.transport, methodQuarantine, func(_ context.Context, from id.VM, r quarantineMessage) (bool, error) {
-		klog.InfoS("Quarantine reported", "from", from, "fingerprint", r.Fingerprint, "for", r.Hold)
-		v.quarantineList.AddRefused(clock.SinceBoot(), r.Fingerprint, r.Hold)
-		return true, nil
-	})
-}
-
-// quarantineMessage reports a request that is quarantined or ran on a crashed upstream.
-type quarantineMessage struct {
-	Fingerprint quarantine.Fingerprint `cbor:"1,keyasint"` // fingerprint of the request
-	Hold        time.Duration          `cbor:"2,keyasint"` // how long to refuse the request
-}
-
-// reservationMessage asks a VM to reserve an upstream for a suspect request, or to release it. A suspect ran on an upstream that
-// crashed; two suspects never share an upstream, so that a second crash identifies its cause.
-type reservationMessage struct {
-	Upstream    id.Upstream            `cbor:"1,keyasint"`
-	Fingerprint quarantine.Fingerprint `cbor:"2,keyasint"`           // fingerprint of the request
-	Reserve     bool                   `cbor:"3,keyasint,omitempty"` // reserve; false releases
-}
-
-// reserveUpstream asks the other VMs of the data centre to reserve u for the suspect request with this fingerprint, or to release
-// it. It returns false if a VM refuses; a VM that does not answer in time counts as agreeing.
-func (v *VM) reserveUpstream(u id.Upstream, fingerprint quarantine.Fingerprint, reserve bool) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
-	defer cancel()
-	var refused atomic.Bool
-	var wg sync.WaitGroup
-	for _, to := range v.zonePeers() {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			ok, err := peer.Call[bool](ctx, v.transport, to, methodReserve,
-				reservationMessage{Upstream: u, Fingerprint: fingerprint, Reserve: reserve})
-			if err == nil && !ok {
-				refused.Store(true)
-			}
-		}()
-	}
-	wg.Wait()
-	return !refused.Load()
 }
 
 // zonePeers returns the peer addresses of the other VMs in this data centre.
@@ -280,29 +228,6 @@
 	return err
 }
 
-// broadcastQuarantined reports a quarantined request to every other VM, because its caller may send it again in another data centre.
-func (v *VM) broadcastQuarantined(fingerprint quarantine.Fingerprint, hold time.Duration) {
-	v.broadcast(methodQuarantine, quarantineMessage{fingerprint, hold})
-}
-
-// broadcastCrash reports to every other VM that a request ran on an upstream that crashed.
-func (v *VM) broadcastCrash(fingerprint quarantine.Fingerprint, hold time.Duration) {
-	v.broadcast(methodReportCrash, quarantineMessage{fingerprint, hold})
-}
-
-// broadcast sends message to every other VM without waiting for the answers.
-func (v *VM) broadcast(method string, message quarantineMessage) {
-	for _, to := range v.peerAddresses(func(state.Member) bool { return true }) {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-			defer cancel()
-			if _, err := peer.Call[bool](ctx, v.transport, to, method, message); err != nil {
-				klog.InfoS("Quarantine message not delivered", "method", method, "peer", to, "fingerprint", message.Fingerprint, "err", err)
-			}
-		}()
-	}
-}
-
 // buildLimits connects the rate limiter to the control plane: this VM reports the demand of each customer to the leader, which
 // assigns a share of the customer's rate and burst to each VM.
 func (v *VM) buildLimits() {
@@ -345,7 +270,7 @@
 func (v *VM) buildCaller(inc id.Incarnation) {
 	a := v.authority
 	d := &dispatch.Dispatcher{
-		Roster: v.roster, Client: upstream.New(), Quarantine: v.quarantineList, OnQuarantine: v.broadcastQuarantined,
+		Roster: v.roster, Client: upstream.New(), Quarantine: v.quarantineList, Share: v.sharer.Share,
 		ReserveOnPeers: v.reserveUpstream,
 	}
 	if v.cfg.Route.Policy == "naive" {
@@ -468,6 +393,7 @@
 	})
 	start(func() { v.gossip.Run(serveCtx) })
 	start(func() { v.orders.Run(serveCtx) })
+	start(func() { v.sharer.Run(serveCtx) })
 	start(func() { v.runPlatform(serveCtx) })
 	for i, s := range v.servers {
 		if v.listeners[i] == nil {
--- a/internal/services/dispatch/backoff_test.go
+++ b/internal/services/dispatch/backoff_test.go
@@ -74,7 +74,7 @@
 	own := quarantine.NewFingerprint("", "s", []byte(http.MethodPut+"/x\n"+retryBody))
 	other := quarantine.NewFingerprint("", "s", []byte("other"))
 	for _, p := range []quarantine.Fingerprint{own, other} {
-		b.d.Quarantine.RecordCrash(clock.SinceBoot(), p, time.Minute)
+		b.recordCrash("app1", p)
 	}
 	// The peers refuse the second reservation, that of the retry. Shortly after, another suspect holds the upstream for a while.
 	calls := 0
--- a/internal/services/dispatch/crashed.go
+++ b/internal/services/dispatch/crashed.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/services/call"
@@ -51,10 +53,30 @@
 
 // checkQuarantine returns the refusal of a request that crashed the upstreams that ran it. It is called at the start of a
 // call and again right before each send, because the call may have waited in between.
-func (d *Dispatcher) checkQuarantine(p quarantine.Fingerprint) error {
-	wait, refused := d.Quarantine.Refused(clock.SinceBoot(), p)
+func (d *Dispatcher) checkQuarantine(c *call.Call, p quarantine.Fingerprint) error {
+	duration := d.hold(c)
+	wait, refused := d.Quarantine.Refused(clock.SinceBoot(), p, suspect.Hold{Short: duration, Long: duration})
 	if !refused {
 		return nil
 	}
 	return call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 }
+
+// hold returns how long c is refused if it crashed its upstreams. Since suspects run isolated, the second crash of one is not
+// a coincidence.
+func (d *Dispatcher) hold(c *call.Call) time.Duration {
+	return c.Config.ResolveDuration(policy.Quarantine, c.Customer, c.Service.ID)
+}
+
+// recordCompletion clears p of the crashes that it was suspected of.
+func (d *Dispatcher) recordCompletion(u *roster.Upstream, p quarantine.Fingerprint) {
+	if r, cleared := d.Quarantine.RecordCompletion(clock.SinceBoot(), u.Name, u.Incarnation, p); cleared {
+		d.share(r)
+	}
+}
+
+func (d *Dispatcher) share(r suspect.Report) {
+	if d.Share != nil {
+		d.Share(r)
+	}
+}
--- a/internal/services/dispatch/crashed_test.go
+++ b/internal/services/dispatch/crashed_test.go
@@ -61,15 +61,21 @@
 	require.False(t, d.crashed(u))
 }
 
+// recordCrash records that p crashed the upstream with this name.
+func (b *testFleet) recordCrash(name id.Upstream, p quarantine.Fingerprint) {
+	now := clock.SinceBoot()
+	b.d.Quarantine.RecordCrash(now, name, 1, map[quarantine.Fingerprint]time.Duration{p: now})
+}
+
 // Guards against sending a call that became refused while it waited for its upstream.
 func TestQuarantinedCallIsNotSent(t *testing.T) {
 	b := newTestFleet(t, []fault{healthy})
 	defer b.close()
 	own := quarantine.NewFingerprint("", "s", []byte(http.MethodPut+"/x\n"+retryBody))
-	b.d.Quarantine.RecordCrash(clock.SinceBoot(), own, time.Minute)
+	b.recordCrash("app1", own)
 	b.d.ReserveOnPeers = func(_ id.Upstream, _ quarantine.Fingerprint, reserve bool) bool {
 		if reserve {
-			b.d.Quarantine.RecordCrash(clock.SinceBoot(), own, time.Minute)
+			b.recordCrash("app2", own)
 		}
 		return true
 	}
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/lazy"
@@ -43,8 +44,8 @@
 	Roster     *roster.Roster
 	Client     *upstream.Client
 	Quarantine *quarantine.List
-	// OnQuarantine is called when this VM quarantines a request, to notify the other VMs.
-	OnQuarantine func(p quarantine.Fingerprint, duration time.Duration)
+	// Share gives a report of a crash or of a suspect's completion to the other VMs.
+	Share func(suspect.Report)
 	// ReserveOnPeers reserves an upstream for one suspect on the other VMs of the data centre, or releases it if reserve is false.
 	// It returns false if the upstream is reserved for another suspect. Nil skips the other VMs.
 	ReserveOnPeers func(u id.Upstream, p quarantine.Fingerprint, reserve bool) bool
@@ -125,7 +126,7 @@
 	if n := len(c.Prefix); n > 0 {
 		q.Prefix = c.Prefix[min(n-1, routingPrefixBlocks-1)]
 	}
-	if d.Quarantine.IsSuspect(clock.SinceBoot(), p) {
+	if d.Quarantine.IsSuspect(p) {
 		q.Exclude = func(u *roster.Upstream) bool { return d.Quarantine.IsReserved(clock.SinceBoot(), u.Name) }
 	}
 	if len(tried) == 0 {
@@ -167,7 +168,7 @@
 // another suspect.
 func (d *Dispatcher) isolateSuspect(u id.Upstream, p quarantine.Fingerprint) (unreserve func(), ok bool) {
 	now := clock.SinceBoot()
-	if !d.Quarantine.IsSuspect(now, p) {
+	if !d.Quarantine.IsSuspect(p) {
 		return func() {}, true
 	}
 	if !d.Quarantine.Reserve(now, u, p) {
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/policy"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
@@ -26,13 +27,14 @@
 	sent    bool         // an attempt sent bytes to an upstream
 	now     bool         // the current attempt sent bytes to its upstream
 	final   *final
+	sentAt  time.Duration // clock.SinceBoot at the start of the current attempt
 }
 
 // RunModel runs a chat or completion call and resumes it on other engines until the end event arrives. It writes the response
 // to out, which must report errors that occur after the first chunk.
 func (d *Dispatcher) RunModel(ctx context.Context, c *call.Call, out Sink) error {
 	p := quarantine.NewFingerprint(c.Customer, c.Service.ID, c.Body)
-	if err := d.checkQuarantine(p); err != nil {
+	if err := d.checkQuarantine(c, p); err != nil {
 		return err
 	}
 	d.budgets.Get(budgetOf(c)).Earn(c.Config.Resolve(policy.RetryRatio, c.Customer, c.Service.ID).Value)
@@ -119,14 +121,15 @@
 	}
 	defer unreserve()
 	pr.waitBeforeRetry(ctx, tried[u.Name])
-	if err := d.checkQuarantine(p); err != nil {
+	if err := d.checkQuarantine(c, p); err != nil {
 		return err
 	}
-	tried[u.Name] = true
+	tried[u.Name], pr.sentAt = true, clock.SinceBoot()
 	err = d.stream(ctx, c, u, out, pr)
 	recordAttempt(c, ch, err)
 	if err == nil {
 		u.Stats.RecordSuccess()
+		d.recordCompletion(u, p)
 		return nil
 	}
 	var writeErr callerError
@@ -145,13 +148,11 @@
 	}
 	now := clock.SinceBoot()
 	d.Roster.MarkCrashed(now, u.Name, u.Incarnation)
-	duration := c.Config.ResolveDuration(policy.Quarantine, c.Customer, c.Service.ID)
-	if !d.Quarantine.RecordCrash(now, p, duration) {
+	duration := d.hold(c)
+	d.share(d.Quarantine.RecordCrash(now, u.Name, u.Incarnation, map[quarantine.Fingerprint]time.Duration{p: pr.sentAt}))
+	if _, refused := d.Quarantine.Refused(now, p, suspect.Hold{Short: duration, Long: duration}); !refused {
 		return err
 	}
-	if d.OnQuarantine != nil {
-		d.OnQuarantine(p, duration)
-	}
 	return &call.Refusal{
 		Status: http.StatusUnprocessableEntity, Code: call.Quarantined, Run: call.RunYes, RetryAfter: duration, Step: step,
 		Peer: string(u.Name), Reason: "this request crashed the engines that ran it", Err: err,
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -54,7 +54,7 @@
 // RunPlain runs a call to an application. A non-idempotent call is retried only if no byte of it was sent.
 func (d *Dispatcher) RunPlain(ctx context.Context, c *call.Call) (*Answer, error) {
 	p := quarantine.NewFingerprint(c.Customer, c.Service.ID, append([]byte(c.R.Method+c.Path+"\n"), c.Body...))
-	if err := d.checkQuarantine(p); err != nil {
+	if err := d.checkQuarantine(c, p); err != nil {
 		return nil, err
 	}
 	d.budgets.Get(budgetOf(c)).Earn(c.Config.Resolve(policy.RetryRatio, c.Customer, c.Service.ID).Value)
@@ -97,15 +97,18 @@
 	}
 	defer unreserve()
 	pr.waitBeforeRetry(ctx, tried[u.Name])
-	if err := d.checkQuarantine(p); err != nil {
+	if err := d.checkQuarantine(c, p); err != nil {
 		return nil, false, err
 	}
-	tried[u.Name] = true
+	tried[u.Name], pr.sentAt = true, clock.SinceBoot()
 	a, sent, err := d.roundTrip(ctx, c, u)
 	pr.sent, pr.now = pr.sent || sent, sent
 	recordAttempt(c, ch, err)
 	if err == nil {
 		u.Stats.RecordSuccess()
+		if a.Status/100 == 2 {
+			d.recordCompletion(u, p)
+		}
 		return a, false, nil
 	}
 	if ctx.Err() == nil {
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -228,6 +228,9 @@
 	}
 	if err == nil || errors.Is(err, ErrCallerGone) || errors.Is(err, errFailureKept) {
 		sel.u.Stats.RecordOutcome(false)
+		if err == nil && a.Status/100 == 2 {
+			f.recordCompletion(c, sel)
+		}
 		return err
 	}
 	return f.attemptFailed(ctx, c, sel, p, true, err)
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -35,6 +35,7 @@
 	prefill         bool // u only processes the prompt
 	rule            string
 	firstEventDelay time.Duration // estimate
+	sentAt          time.Duration // clock.SinceBoot at the start of the attempt
 	tokensToPrefill id.Tokens
 	queuedTokens    id.Tokens // prompt tokens queued at u before this prompt
 	copyFrom        string    // address of the engine to copy a prefix from; empty if none
@@ -74,6 +75,7 @@
 
 // acquire adds the request to the load of its upstream.
 func (sel *selection) acquire() *selection {
+	sel.sentAt = clock.SinceBoot()
 	sel.u.Stats.Requests.Add(1)
 	sel.u.Stats.PendingPrefill.Add(int64(sel.tokensToPrefill))
 	return sel
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -13,6 +13,7 @@
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
@@ -53,12 +54,12 @@
 	UpstreamClient UpstreamClient
 	Meter          Meter
 	Quarantine     *quarantine.List
-	// ReportCrash reports a request that ran on a crashed upstream to the other VMs.
-	ReportCrash func(p quarantine.Fingerprint, hold time.Duration)
-	Zone        id.Zone
-	Window      func(now time.Duration) id.Window
-	Members     func() int // number of VMs that send requests to upstreams
-	Retries     Retries
+	// Share gives a report of a crash or of a suspect's completion to the other VMs.
+	Share   func(suspect.Report)
+	Zone    id.Zone
+	Window  func(now time.Duration) id.Window
+	Members func() int // number of VMs that send requests to upstreams
+	Retries Retries
 	// Orders returns the last order of every upstream. An upstream that is changing its role gets no new requests.
 	Orders func() map[id.Upstream]order.Order
 
@@ -118,7 +119,7 @@
 		c.deadline = c.Start.Add(c.CallerTimeout)
 	}
 	if wait, refused := f.quarantined(c); refused {
-		klog.InfoS("Request rejected: it crashed the upstreams that ran it", "request", c.ID, "fingerprint", c.print(), "crashes", f.Quarantine.Crashes(c.print()), "for", wait)
+		klog.InfoS("Request rejected: it crashed the upstreams that ran it", "request", c.ID, "fingerprint", c.print(), "crashes", len(f.Quarantine.Crashes(c.print())), "for", wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 	}
 	if !first || c.customer.ID == "" {
@@ -159,7 +160,8 @@
 
 // quarantined returns for how much longer c is refused because it crashed the upstreams that ran it.
 func (f *Forwarder) quarantined(c *Call) (time.Duration, bool) {
-	return f.Quarantine.Refused(clock.SinceBoot(), c.print())
+	long := c.config.ResolveDuration(policy.Quarantine, c.customer.ID, c.service.ID)
+	return f.Quarantine.Refused(clock.SinceBoot(), c.print(), suspect.Hold{Short: min(coincidenceHold, long), Long: long})
 }
 
 // stillAllowed reports whether the decision for c still holds. It is called right before c is sent, because c may have
--- a/internal/services/forward/silence.go
+++ b/internal/services/forward/silence.go
@@ -10,9 +10,10 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
-	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/route"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/services/quarantine"
 )
 
 // silenceTimer cancels an attempt after a silence of the upstream, if the call can be retried on another one.
@@ -54,7 +55,7 @@
 
 const (
 	crashDialTimeout = 300 * time.Millisecond
-	maxCrashHold     = time.Minute // maximum time for which a request that crashed two upstreams is refused
+	coincidenceHold  = time.Minute // how long a request is refused that may only have run on upstreams which crashed for another reason
 )
 
 // Results of a check whether an upstream crashed.
@@ -97,10 +98,22 @@
 		return
 	}
 	f.logCrashCheck(c, sel, checkRefused)
-	hold := min(maxCrashHold, c.config.ResolveDuration(policy.Quarantine, c.customer.ID, c.service.ID))
-	refused := f.Quarantine.RecordCrash(clock.SinceBoot(), p, hold)
-	klog.InfoS("Upstream crashed", "upstream", sel.u.Name, "address", sel.u.Address, "request", c.ID, "fingerprint", p, "crashes", f.Quarantine.Crashes(p), "refused", refused)
-	if f.ReportCrash != nil {
-		f.ReportCrash(p, hold)
+	r := f.Quarantine.RecordCrash(clock.SinceBoot(), sel.u.Name, sel.u.Incarnation, map[quarantine.Fingerprint]time.Duration{p: sel.sentAt})
+	_, refused := f.quarantined(c)
+	klog.InfoS("Upstream crashed", "upstream", sel.u.Name, "address", sel.u.Address, "request", c.ID, "fingerprint", p, "crashes", len(f.Quarantine.Crashes(p)), "refused", refused)
+	f.share(r)
+}
+
+// recordCompletion clears c of the crashes that it was suspected of.
+func (f *Forwarder) recordCompletion(c *Call, sel *selection) {
+	if r, cleared := f.Quarantine.RecordCompletion(clock.SinceBoot(), sel.u.Name, sel.u.Incarnation, c.print()); cleared {
+		klog.InfoS("Suspect completed", "upstream", sel.u.Name, "request", c.ID, "fingerprint", c.print())
+		f.share(r)
+	}
+}
+
+func (f *Forwarder) share(r suspect.Report) {
+	if f.Share != nil {
+		f.Share(r)
 	}
 }
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -1,47 +1,41 @@
 // Package quarantine detects requests that crash the engines they run on, and refuses them.
 //
-// When an engine crashes, every request that ran on it becomes a suspect. Suspects no longer share an engine, so that a
-// second crash is attributable to one suspect.
+// When an engine crashes, every request that ran on it becomes a suspect. A run that completes clears the request. Every VM
+// learns of crashes by messages of the VMs that noticed them and, in case these are lost or the VM starts later, from the
+// replicated log.
 package quarantine
 
 import (
-	"fmt"
+	"maps"
 	"sync"
 	"time"
 
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
 )
 
 // Fingerprint is a hash of a request's customer, service and body.
-type Fingerprint uint64
+type Fingerprint = suspect.Fingerprint
 
-// String returns p in hexadecimal, as in log lines.
-func (p Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(p)) }
-
-const (
-	crashesToRefuse = 2                // crashes after which a request is refused
-	suspectTTL      = 10 * time.Minute // how long a request stays a suspect after a crash
-	sweepThreshold  = 10000            // number of records from which on expired ones are removed
-	reservationTTL  = 2 * time.Minute  // lifetime of a reservation that is not released
-)
+const reservationTTL = 2 * time.Minute // lifetime of a reservation that is not released
 
 // NewFingerprint returns the fingerprint of a request. For a plain call, s or body also includes the path.
 func NewFingerprint(c id.Customer, s id.Service, body []byte) Fingerprint {
 	return Fingerprint(hash.Combine(hash.Combine(hash.String(c), hash.String(s)), hash.Bytes(body)))
 }
 
-// record counts the crashes of engines that ran one request.
-type record struct {
-	crashes int
-	until   time.Duration // clock.SinceBoot at which the record expires
-}
-
 // List holds the suspects, the refused requests and the reservations of engines. The zero value is an empty list.
 type List struct {
+	// FleetTime returns the fleet's time at now. Nil takes now as the time since the Unix epoch.
+	FleetTime func(now time.Duration) time.Time
+	// Committed returns the suspects in the replicated log; nil if there is none.
+	Committed func() suspect.Table
+
 	mu           sync.Mutex
-	records      map[Fingerprint]record
-	reservations map[id.Upstream]reservation // by engine
+	reported     suspect.Table                  // by this VM and in messages from others
+	cleared      map[Fingerprint]suspect.Millis // when a suspect last ran to completion
+	reservations map[id.Upstream]reservation    // by engine
 }
 
 // reservation is the exclusive use of an engine by one suspect. It expires because the VM that made it may crash.
@@ -50,68 +44,112 @@
 	until time.Duration // clock.SinceBoot at which the reservation expires
 }
 
-// RecordCrash records that p ran on an engine that crashed, and reports whether p is now refused for duration.
-func (l *List) RecordCrash(now time.Duration, p Fingerprint, duration time.Duration) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.records == nil {
-		l.records = map[Fingerprint]record{}
+// millis returns the fleet's time at now.
+func (l *List) millis(now time.Duration) suspect.Millis {
+	if l.FleetTime == nil {
+		return suspect.MillisOf(time.Unix(0, int64(now)))
 	}
-	l.removeExpired(now)
-	r := l.records[p]
-	r.crashes++
-	r.until = max(r.until, now+suspectTTL)
-	refused := r.crashes >= crashesToRefuse
-	if refused {
-		r.until = now + duration
+	return suspect.MillisOf(l.FleetTime(now))
+}
+
+// RecordCrash records that one incarnation of u crashed, and returns the report for the other VMs. Runs holds the time at
+// which each request was sent to it.
+func (l *List) RecordCrash(now time.Duration, u id.Upstream, incarnation uint64, runs map[Fingerprint]time.Duration) suspect.Report {
+	r := suspect.Report{Upstream: u, Incarnation: incarnation, At: l.millis(now)}
+	for p, began := range runs {
+		r.Runs = append(r.Runs, suspect.Run{Request: p, Began: l.millis(began)})
 	}
-	l.records[p] = r
-	return refused
+	l.Apply(r)
+	return r
 }
 
-// AddRefused adds a request that another VM has quarantined.
-func (l *List) AddRefused(now time.Duration, p Fingerprint, duration time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.records == nil {
-		l.records = map[Fingerprint]record{}
+// RecordCompletion records that u ran p to its end. If p was a suspect, it returns the report for the other VMs.
+func (l *List) RecordCompletion(now time.Duration, u id.Upstream, incarnation uint64, p Fingerprint) (r suspect.Report, cleared bool) {
+	if len(l.Crashes(p)) == 0 {
+		return r, false
 	}
-	l.records[p] = record{crashes: crashesToRefuse, until: now + duration}
+	at := l.millis(now)
+	r = suspect.Report{Upstream: u, Incarnation: incarnation, At: at, Runs: []suspect.Run{{Request: p, Began: at}}, Completed: true}
+	l.Apply(r)
+	return r, true
 }
 
-// Refused returns how much longer p is refused, and whether it is refused at all.
-func (l *List) Refused(now time.Duration, p Fingerprint) (time.Duration, bool) {
+// Apply adds the report of a VM. A report that comes twice has no further effect.
+func (l *List) Apply(r suspect.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, ok := l.records[p]
-	if !ok || r.crashes < crashesToRefuse || now >= r.until {
-		return 0, false
+	if l.reported == nil {
+		l.reported, l.cleared = suspect.Table{}, map[Fingerprint]suspect.Millis{}
+	}
+	l.reported.Apply(r)
+	if !r.Completed {
+		return
+	}
+	for _, run := range r.Runs {
+		l.cleared[run.Request] = max(l.cleared[run.Request], r.At)
+	}
+	l.pruneCleared()
+}
+
+// pruneCleared removes times of completion that no crash precedes any more.
+func (l *List) pruneCleared() {
+	const maxCleared = 1000
+	if len(l.cleared) < maxCleared {
+		return
 	}
-	return r.until - now, true
+	committed := l.committed()
+	maps.DeleteFunc(l.cleared, func(p Fingerprint, _ suspect.Millis) bool { return len(committed[p]) == 0 })
 }
 
-// Crashes returns how many crashes of upstreams are recorded for p, whether or not the record has expired.
-func (l *List) Crashes(p Fingerprint) int {
+func (l *List) committed() suspect.Table {
+	if l.Committed == nil {
+		return nil
+	}
+	return l.Committed()
+}
+
+// Crashes returns the crashes of p since it last ran to completion.
+func (l *List) Crashes(p Fingerprint) suspect.Record {
+	committed := l.committed()[p]
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.records[p].crashes
+	r := l.reported[p]
+	for _, c := range committed {
+		r = r.With(c)
+	}
+	if t, ok := l.cleared[p]; ok {
+		r = r.After(t)
+	}
+	return r
 }
 
-// Len returns the number of records.
+// Len returns the number of suspects that this VM knows.
 func (l *List) Len() int {
+	committed := l.committed()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.records)
+	n := len(committed)
+	for p := range l.reported {
+		if len(committed[p]) == 0 {
+			n++
+		}
+	}
+	return n
 }
 
-// IsSuspect reports whether p recently ran on an engine that crashed.
-func (l *List) IsSuspect(now time.Duration, p Fingerprint) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r, ok := l.records[p]
-	return ok && r.crashes > 0 && now < r.until
+// Refused returns how much longer p is refused, and whether it is refused at all.
+func (l *List) Refused(now time.Duration, p Fingerprint, h suspect.Hold) (time.Duration, bool) {
+	until, ok := l.Crashes(p).RefusedUntil(h)
+	left := until.Sub(l.millis(now))
+	if !ok || left <= 0 {
+		return 0, false
+	}
+	return left, true
 }
 
+// IsSuspect reports whether p ran on an engine that crashed.
+func (l *List) IsSuspect(p Fingerprint) bool { return len(l.Crashes(p)) > 0 }
+
 // Reserve reserves u for the suspect p. It returns false if u is reserved for another suspect.
 func (l *List) Reserve(now time.Duration, u id.Upstream, p Fingerprint) bool {
 	l.mu.Lock()
@@ -142,15 +180,3 @@
 	h, found := l.reservations[u]
 	return found && now < h.until
 }
-
-// removeExpired deletes expired records once there are sweepThreshold of them.
-func (l *List) removeExpired(now time.Duration) {
-	if len(l.records) < sweepThreshold {
-		return
-	}
-	for p, r := range l.records {
-		if now >= r.until {
-			delete(l.records, p)
-		}
-	}
-}
