Recognise crashing requests without a body

Cause: such requests had the fingerprint 0, for which the check of a crash returned at once, because requests without a body cannot be told apart. Fix: customer and target identify them too. TestCompletionClearsFrequentRequest holds the other side.

--- a/internal/services/forward/crash_test.go
+++ b/internal/services/forward/crash_test.go
@@ -81,3 +81,23 @@
 		require.NotEqual(t, call.RunNo, r.Run)
 	})
 }
+
+// Many callers send the same request without a body. Upstreams that end for another reason must not stop all of them.
+func TestCompletionClearsFrequentRequest(t *testing.T) {
+	s := newCrashedFixture(t)
+	for range 4 {
+		time.Sleep(2 * time.Millisecond) // crashes and completions are ordered by milliseconds
+		s.up.steps = []sendResult{crashResult}
+		requireRefusal(t, s.Serve(context.Background(), newCall("/unsafe/"), &fakeSink{}))
+		require.Eventually(t, func() bool { return len(s.Quarantine.Crashes(s.authenticated("/unsafe/").print())) > 0 }, 5*time.Second, time.Millisecond)
+		s.up.steps = []sendResult{okResult("a")}
+		require.NoError(t, s.Serve(context.Background(), newCall("/unsafe/"), &fakeSink{}))
+	}
+}
+
+// authenticated returns a call with the customer of the sample configuration.
+func (s *fixture) authenticated(path string) *Call {
+	c := newCall(path)
+	c.customer.ID = "c"
+	return c
+}
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -219,12 +219,9 @@
 	return f.budgets.Get(c.service.ID).Spend(f.Retries.Burst / float64(max(1, f.Members())))
 }
 
-// print returns the fingerprint that identifies c among repeated requests, or zero if it cannot be identified.
-// The request target takes the place of the service.
+// print returns the fingerprint that identifies c among repeated requests. The request target takes the place of the
+// service. Requests without a body share it if they have the same target; the first that completes clears all of them.
 func (c *Call) print() quarantine.Fingerprint {
-	if len(c.Body) == 0 {
-		return 0 // without a body, different requests cannot be told apart
-	}
 	return quarantine.NewFingerprint(c.customer.ID, id.Service(c.Target), c.Body)
 }
 
--- a/internal/services/forward/silence.go
+++ b/internal/services/forward/silence.go
@@ -60,12 +60,11 @@
 
 // Results of a check whether an upstream crashed.
 const (
-	checkRefused     = "refused"        // the connection was refused: the process is gone
-	checkAccepted    = "accepted"       // the upstream accepted a connection
-	checkUnreachable = "unreachable"    // no answer to the connection attempt
-	checkLeaving     = "leaving"        // not checked: the upstream has announced its departure
-	checkUnwanted    = "unwanted"       // not checked: the caller or the deadline ended the attempt
-	checkNoPrint     = "no_fingerprint" // not checked: the request has no fingerprint
+	checkRefused     = "refused"     // the connection was refused: the process is gone
+	checkAccepted    = "accepted"    // the upstream accepted a connection
+	checkUnreachable = "unreachable" // no answer to the connection attempt
+	checkLeaving     = "leaving"     // not checked: the upstream has announced its departure
+	checkUnwanted    = "unwanted"    // not checked: the caller or the deadline ended the attempt
 )
 
 // logCrashCheck logs and counts the result of a check.
@@ -78,10 +77,6 @@
 // refused, the upstream's process is gone, and c is recorded in the quarantine list as a possible cause.
 func (f *Forwarder) checkCrash(c *Call, sel *selection) {
 	p := c.print()
-	if p == 0 {
-		f.logCrashCheck(c, sel, checkNoPrint)
-		return
-	}
 	if f.Roster.Leaving(sel.u.Name) {
 		f.logCrashCheck(c, sel, checkLeaving)
 		return
