Watch requests that end without an answer, whoever ended them, for a crash of their upstream

What callers and upstreams saw: crashes that no attempt showed were not counted, so that the request was sent on. Cause: the crash of an upstream was looked for from the view of one failed attempt, once. Fix: a detector shared by both ways to upstreams keeps, by incarnation, the requests that ended there without a complete answer, for 6 s. A refused probe, a later incarnation at its name or address, silence while its data centre is heard, or the report of another VM makes them suspects. No new connection is made for attempts that callers end. Ruled out: silence of a whole data centre as evidence, since a cut network looks the same.

--- a/internal/routers/vm/quarantine.go
+++ b/internal/routers/vm/quarantine.go
@@ -21,12 +21,16 @@
 	v.quarantineList.FleetTime = v.authority.FleetTime
 	v.quarantineList.Committed = v.authority.State().Suspects
 	v.sharer = quarantine.NewSharer(v.broadcastSuspects, v.commitSuspects)
+	v.detector = &quarantine.Detector{Roster: v.roster, List: v.quarantineList, Share: v.sharer.Share}
 	peer.Handle(v.transport, methodSuspects, func(_ context.Context, from id.VM, r suspect.Report) (bool, error) {
 		v.quarantineList.Apply(r)
 		for _, run := range r.Runs {
 			klog.InfoS("Crash reported", "from", from, "upstream", r.Upstream, "incarnation", r.Incarnation, "completed", r.Completed,
 				"fingerprint", run.Request, "crashes", len(v.quarantineList.Crashes(run.Request)))
 		}
+		if !r.Completed {
+			v.detector.Confirm(r.Upstream, r.Incarnation)
+		}
 		return true, nil
 	})
 	peer.Handle(v.transport, methodReserve, func(_ context.Context, _ id.VM, r reservationMessage) (bool, error) {
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -20,6 +20,7 @@
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
 	"wagtaillift/internal/modules/setting"
 	"wagtaillift/internal/modules/upstream"
@@ -68,6 +69,7 @@
 	requestlog     *requestlog.Journal
 	quarantineList *quarantine.List
 	sharer         *quarantine.Sharer
+	detector       *quarantine.Detector
 	orders         *order.Service
 	stopping       atomic.Bool
 	unhealthy      atomic.Bool
@@ -270,7 +272,7 @@
 func (v *VM) buildCaller(inc id.Incarnation) {
 	a := v.authority
 	d := &dispatch.Dispatcher{
-		Roster: v.roster, Client: upstream.New(), Quarantine: v.quarantineList, Share: v.sharer.Share,
+		Roster: v.roster, Client: upstream.New(), Quarantine: v.quarantineList, Detector: v.detector,
 		ReserveOnPeers: v.reserveUpstream,
 	}
 	if v.cfg.Route.Policy == "naive" {
@@ -394,6 +396,9 @@
 	start(func() { v.gossip.Run(serveCtx) })
 	start(func() { v.orders.Run(serveCtx) })
 	start(func() { v.sharer.Run(serveCtx) })
+	start(func() {
+		pause.Every(serveCtx, quarantine.CheckInterval, func() { v.detector.Check(clock.SinceBoot()) })
+	})
 	start(func() { v.runPlatform(serveCtx) })
 	for i, s := range v.servers {
 		if v.listeners[i] == nil {
--- a/internal/services/dispatch/crashed.go
+++ b/internal/services/dispatch/crashed.go
@@ -68,15 +68,9 @@
 	return c.Config.ResolveDuration(policy.Quarantine, c.Customer, c.Service.ID)
 }
 
-// recordCompletion clears p of the crashes that it was suspected of.
-func (d *Dispatcher) recordCompletion(u *roster.Upstream, p quarantine.Fingerprint) {
-	if r, cleared := d.Quarantine.RecordCompletion(clock.SinceBoot(), u.Name, u.Incarnation, p); cleared {
-		d.share(r)
-	}
-}
-
-func (d *Dispatcher) share(r suspect.Report) {
-	if d.Share != nil {
-		d.Share(r)
+// recordEnd records an attempt without a complete answer, in case u turns out to have crashed.
+func (d *Dispatcher) recordEnd(u *roster.Upstream, pr *progress, p quarantine.Fingerprint) {
+	if pr.now {
+		d.Detector.Ended(clock.SinceBoot(), u, p, pr.sentAt)
 	}
 }
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/policy"
-	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/lazy"
@@ -44,8 +43,7 @@
 	Roster     *roster.Roster
 	Client     *upstream.Client
 	Quarantine *quarantine.List
-	// Share gives a report of a crash or of a suspect's completion to the other VMs.
-	Share func(suspect.Report)
+	Detector   *quarantine.Detector
 	// ReserveOnPeers reserves an upstream for one suspect on the other VMs of the data centre, or releases it if reserve is false.
 	// It returns false if the upstream is reserved for another suspect. Nil skips the other VMs.
 	ReserveOnPeers func(u id.Upstream, p quarantine.Fingerprint, reserve bool) bool
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -129,9 +129,10 @@
 	recordAttempt(c, ch, err)
 	if err == nil {
 		u.Stats.RecordSuccess()
-		d.recordCompletion(u, p)
+		d.Detector.Completed(clock.SinceBoot(), u, p)
 		return nil
 	}
+	d.recordEnd(u, pr, p)
 	var writeErr callerError
 	if ctx.Err() != nil || errors.As(err, &writeErr) {
 		return err
@@ -149,7 +150,7 @@
 	now := clock.SinceBoot()
 	d.Roster.MarkCrashed(now, u.Name, u.Incarnation)
 	duration := d.hold(c)
-	d.share(d.Quarantine.RecordCrash(now, u.Name, u.Incarnation, map[quarantine.Fingerprint]time.Duration{p: pr.sentAt}))
+	d.Detector.Confirm(u.Name, u.Incarnation)
 	if _, refused := d.Quarantine.Refused(now, p, suspect.Hold{Short: duration, Long: duration}); !refused {
 		return err
 	}
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -107,10 +107,11 @@
 	if err == nil {
 		u.Stats.RecordSuccess()
 		if a.Status/100 == 2 {
-			d.recordCompletion(u, p)
+			d.Detector.Completed(clock.SinceBoot(), u, p)
 		}
 		return a, false, nil
 	}
+	d.recordEnd(u, pr, p)
 	if ctx.Err() == nil {
 		u.Stats.RecordFailure(clock.SinceBoot())
 		err = d.checkCrash(c, u, pr, p, err)
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -229,7 +229,7 @@
 	if err == nil || errors.Is(err, ErrCallerGone) || errors.Is(err, errFailureKept) {
 		sel.u.Stats.RecordOutcome(false)
 		if err == nil && a.Status/100 == 2 {
-			f.recordCompletion(c, sel)
+			f.Detector.Completed(clock.SinceBoot(), sel.u, c.print())
 		}
 		return err
 	}
@@ -265,20 +265,18 @@
 	c.sent = c.sent || sent
 	if sent {
 		p.possibleRuns++
+		f.Detector.Ended(clock.SinceBoot(), sel.u, c.print(), sel.sentAt)
 	}
 	// Neither the caller nor the deadline ended the attempt.
 	stillWanted := ctx.Err() == nil || errors.Is(err, errSilent)
 	switch {
 	case errors.Is(err, upstream.ErrNotAllowed) || errors.Is(err, upstream.ErrTooManyConns) || !stillWanted:
-		if sent {
-			f.logCrashCheck(c, sel, checkUnwanted)
-		}
 	case !sent:
 		sel.u.Stats.RecordOutcome(true)
 		sel.u.Stats.OpenCircuit(clock.SinceBoot())
 	default:
 		sel.u.Stats.RecordOutcome(true)
-		go f.checkCrash(c, sel)
+		f.checkCrash(ctx, c, sel)
 	}
 	klog.InfoS("Attempt failed", "request", c.ID, "fingerprint", c.print(), "upstream", sel.u.Name, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
 	return &attemptError{err: err, sent: sent}
--- a/internal/services/forward/crash_test.go
+++ b/internal/services/forward/crash_test.go
@@ -26,6 +26,7 @@
 func newCrashedFixture(t *testing.T, steps ...sendResult) *fixture {
 	s := newFixture(t, steps...)
 	s.Roster = roster.NewMultiZone("vm1", 1, time.Minute, func() {})
+	s.Detector.Roster = s.Roster
 	for _, name := range []string{"a1", "a2", "a3", "a4"} {
 		a := newAnnouncement(name, app, "")
 		a.Address = refusingAddress(t)
@@ -101,3 +102,26 @@
 	c.customer.ID = "c"
 	return c
 }
+
+// The engine crashes at the moment at which the caller leaves or the time is over: no attempt follows that would show it.
+func TestCrashWhenTheCallerLeaves(t *testing.T) {
+	s := newCrashedFixture(t, sendResult{hangs: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	require.ErrorIs(t, s.Serve(ctx, newCall("/unsafe/"), &fakeSink{}), ErrCallerGone)
+	for _, u := range s.Roster.Snapshot().All {
+		s.Detector.Confirm(u.Name, u.Incarnation)
+	}
+	require.True(t, s.Quarantine.IsSuspect(s.authenticated("/unsafe/").print()))
+}
+
+// A call that may be repeated does not take one upstream after the other with it.
+func TestRetryWaitsForCrashCheck(t *testing.T) {
+	s := newCrashedFixture(t, crashResult, crashResult, crashResult, crashResult)
+	d := sampleDocument(2)
+	d.Routes[0].MaxAttempts = 4
+	s.replace(t, d)
+	r := requireRefusal(t, s.Serve(context.Background(), newCall("/safe/"), &fakeSink{}))
+	require.Equal(t, http.StatusBadGateway, r.Status)
+	require.Equal(t, 2, s.up.written)
+}
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -13,7 +13,6 @@
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/policy"
 	"wagtaillift/internal/models/state"
-	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
@@ -54,12 +53,11 @@
 	UpstreamClient UpstreamClient
 	Meter          Meter
 	Quarantine     *quarantine.List
-	// Share gives a report of a crash or of a suspect's completion to the other VMs.
-	Share   func(suspect.Report)
-	Zone    id.Zone
-	Window  func(now time.Duration) id.Window
-	Members func() int // number of VMs that send requests to upstreams
-	Retries Retries
+	Detector       *quarantine.Detector
+	Zone           id.Zone
+	Window         func(now time.Duration) id.Window
+	Members        func() int // number of VMs that send requests to upstreams
+	Retries        Retries
 	// Orders returns the last order of every upstream. An upstream that is changing its role gets no new requests.
 	Orders func() map[id.Upstream]order.Order
 
@@ -119,7 +117,7 @@
 		c.deadline = c.Start.Add(c.CallerTimeout)
 	}
 	if wait, refused := f.quarantined(c); refused {
-		klog.InfoS("Request rejected: it crashed the upstreams that ran it", "request", c.ID, "fingerprint", c.print(), "crashes", len(f.Quarantine.Crashes(c.print())), "for", wait)
+		logQuarantined(c, len(f.Quarantine.Crashes(c.print())), wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 	}
 	if !first || c.customer.ID == "" {
@@ -158,12 +156,6 @@
 	return call.Refuse(status, code, step, "%s", reason)
 }
 
-// quarantined returns for how much longer c is refused because it crashed the upstreams that ran it.
-func (f *Forwarder) quarantined(c *Call) (time.Duration, bool) {
-	long := c.config.ResolveDuration(policy.Quarantine, c.customer.ID, c.service.ID)
-	return f.Quarantine.Refused(clock.SinceBoot(), c.print(), suspect.Hold{Short: min(coincidenceHold, long), Long: long})
-}
-
 // stillAllowed reports whether the decision for c still holds. It is called right before c is sent, because c may have
 // waited or the process may have been suspended since the decision.
 func (f *Forwarder) stillAllowed(c *Call) bool {
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -104,6 +104,7 @@
 	steps   []sendResult
 	targets []Target
 	reads   []Target
+	written int // sends that Target.Allow permitted
 	read    sendResult
 }
 
@@ -118,6 +119,7 @@
 	if !t.Allow() {
 		return nil, false, upstream.ErrNotAllowed
 	}
+	u.written++
 	if s.hangs {
 		<-ctx.Done()
 		return nil, true, ctx.Err()
@@ -196,9 +198,10 @@
 	} {
 		require.NoError(t, r.Announce(clock.SinceBoot(), a))
 	}
+	list := &quarantine.List{}
 	s.Forwarder = &Forwarder{
 		Config: s.machine.Config, Guard: s.guard, Limiter: &limit.Limiter{}, Roster: r, UpstreamClient: s.up, Meter: s.meter,
-		Quarantine: &quarantine.List{}, Zone: "z", Window: func(time.Duration) id.Window { return 1 },
+		Quarantine: list, Detector: &quarantine.Detector{Roster: r, List: list}, Zone: "z", Window: func(time.Duration) id.Window { return 1 },
 		Members: func() int { return 1 }, Retries: Retries{Ratio: 0.2, Burst: 100},
 		Orders: func() map[id.Upstream]order.Order { return s.orders },
 	}
--- /dev/null
+++ b/internal/services/quarantine/detector.go
@@ -0,0 +1,252 @@
+package quarantine
+
+import (
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/suspect"
+	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/roster"
+)
+
+const (
+	probeTimeout    = 300 * time.Millisecond
+	watchTime       = 6 * time.Second // longer than an upstream stays listed without heartbeats
+	maxWatchedRuns  = 1000            // requests watched for one incarnation
+	maxLoggedPrints = 16              // fingerprints in one log line
+)
+
+// incarnation is one run of an upstream's process.
+type incarnation struct {
+	name   id.Upstream
+	number uint64
+}
+
+func incarnationOf(u *roster.Upstream) incarnation { return incarnation{u.Name, u.Incarnation} }
+
+// watched holds the requests that ended without a complete answer at one incarnation of an upstream.
+type watched struct {
+	u     *roster.Upstream
+	runs  map[Fingerprint]time.Duration // when each was sent there
+	until time.Duration                 // clock.SinceBoot up to which a crash is attributed to them
+}
+
+// Detector finds upstreams that crashed while they ran requests, and records these requests as suspects. A request that ended
+// because its caller left or its time was over is watched like any other, since the upstream may have crashed before.
+type Detector struct {
+	Roster *roster.Roster
+	List   *List
+	Share  func(suspect.Report) // gives a report to the other VMs; nil keeps it on this VM
+
+	mu      sync.Mutex
+	watched map[incarnation]*watched
+	probes  map[incarnation]chan struct{} // closed at the end of the probe in progress
+}
+
+// Ended records that p, which was sent to u at sentAt, ended at now without a complete answer.
+func (d *Detector) Ended(now time.Duration, u *roster.Upstream, p Fingerprint, sentAt time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.watched == nil {
+		d.watched = map[incarnation]*watched{}
+	}
+	w, ok := d.watched[incarnationOf(u)]
+	if !ok {
+		w = &watched{u: u, runs: map[Fingerprint]time.Duration{}}
+		d.watched[incarnationOf(u)] = w
+	}
+	if len(w.runs) < maxWatchedRuns {
+		w.runs[p] = max(w.runs[p], sentAt)
+	}
+	w.until = now + watchTime
+}
+
+// Completed records that u ran p to its end.
+func (d *Detector) Completed(now time.Duration, u *roster.Upstream, p Fingerprint) {
+	r, cleared := d.List.RecordCompletion(now, u.Name, u.Incarnation, p)
+	if !cleared {
+		return
+	}
+	klog.InfoS("Suspect completed", "upstream", u.Name, "incarnation", u.Incarnation, "fingerprint", p)
+	d.share(r)
+}
+
+// Probe connects to u. If the connection is refused, the process is gone, and the watched requests are its suspects. The
+// returned channel is closed at the end of the probe. A probe in progress is joined.
+func (d *Detector) Probe(u *roster.Upstream) <-chan struct{} {
+	k := incarnationOf(u)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if done, running := d.probes[k]; running {
+		return done
+	}
+	if d.probes == nil {
+		d.probes = map[incarnation]chan struct{}{}
+	}
+	done := make(chan struct{})
+	d.probes[k] = done
+	go func() {
+		if result := d.connect(u); result == probeRefused {
+			d.crashed(k, result)
+		}
+		d.mu.Lock()
+		delete(d.probes, k)
+		d.mu.Unlock()
+		close(done)
+	}()
+	return done
+}
+
+// Results of a check, as in log lines and metrics.
+const (
+	probeRefused     = "refused"     // the connection was refused: the process is gone
+	probeAccepted    = "accepted"    // the upstream accepted a connection
+	probeUnreachable = "unreachable" // no answer to the connection attempt
+	checkLeft        = "left"        // the upstream had announced its departure
+	checkReplaced    = "replaced"    // a later incarnation has its name or address
+	checkSilent      = "silent"      // neither heartbeats nor connections, while others of its data centre are heard
+	checkReported    = "reported"    // another VM noticed the crash
+)
+
+// connect connects to u and opens its circuit if that fails.
+func (d *Detector) connect(u *roster.Upstream) string {
+	conn, err := net.DialTimeout("tcp", u.Address, probeTimeout)
+	if err == nil {
+		conn.Close()
+		logCheck(u, probeAccepted)
+		return probeAccepted
+	}
+	u.Stats.OpenCircuit(clock.SinceBoot())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		logCheck(u, probeRefused)
+		return probeRefused
+	}
+	logCheck(u, probeUnreachable)
+	return probeUnreachable
+}
+
+func logCheck(u *roster.Upstream, result string) {
+	metrics.GetOrCreateCounter(`wagtaillift_crash_checks_total{result="` + result + `"}`).Inc()
+	klog.InfoS("Crash check", "upstream", u.Name, "incarnation", u.Incarnation, "address", u.Address, "result", result)
+}
+
+// Confirm records that an incarnation of the upstream n is known to have crashed.
+func (d *Detector) Confirm(n id.Upstream, number uint64) {
+	d.crashed(incarnation{n, number}, checkReported)
+}
+
+// crashed records the watched requests of an incarnation as suspects.
+func (d *Detector) crashed(k incarnation, reason string) {
+	d.mu.Lock()
+	w, ok := d.watched[k]
+	delete(d.watched, k)
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	prints := slices.Sorted(maps.Keys(w.runs))
+	klog.InfoS("Upstream crashed", "upstream", k.name, "incarnation", k.number, "address", w.u.Address, "reason", reason,
+		"requests", len(prints), "fingerprints", logged(prints))
+	d.share(d.List.RecordCrash(clock.SinceBoot(), k.name, k.number, w.runs))
+}
+
+// logged returns the first fingerprints of list for a log line.
+func logged(list []Fingerprint) []string {
+	var out []string
+	for _, p := range list[:min(len(list), maxLoggedPrints)] {
+		out = append(out, p.String())
+	}
+	return out
+}
+
+func (d *Detector) share(r suspect.Report) {
+	if d.Share != nil {
+		d.Share(r)
+	}
+}
+
+// Check looks for crashes that no connection of this VM has shown. It is called every CheckInterval.
+func (d *Detector) Check(now time.Duration) {
+	for _, w := range d.expire(now) {
+		k := incarnationOf(w.u)
+		switch result := judge(d.view(w.u)); result {
+		case checkReplaced:
+			logCheck(w.u, result)
+			d.crashed(k, result)
+		case checkLeft:
+			logCheck(w.u, result)
+			d.forget(k)
+		case checkSilent:
+			go func() {
+				if d.connect(w.u) == probeAccepted {
+					d.forget(k) // only its heartbeats are lost
+					return
+				}
+				d.crashed(k, result)
+			}()
+		}
+	}
+}
+
+// CheckInterval is the time between two calls of Check.
+const CheckInterval = 500 * time.Millisecond
+
+// expire forgets the requests whose time to be watched has passed and returns the others.
+func (d *Detector) expire(now time.Duration) []*watched {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.watched, func(_ incarnation, w *watched) bool { return now >= w.until })
+	return slices.Collect(maps.Values(d.watched))
+}
+
+func (d *Detector) forget(k incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.watched, k)
+}
+
+// view is what the roster tells of an incarnation.
+type view struct {
+	leaving   bool // it has announced its departure
+	replaced  bool // a later incarnation has its name or address
+	listed    bool // its heartbeats arrive
+	zoneHeard bool // heartbeats of other upstreams in its data centre arrive
+}
+
+func (d *Detector) view(u *roster.Upstream) view {
+	v := view{leaving: d.Roster.Leaving(u.Name)}
+	for _, o := range d.Roster.Snapshot().All {
+		switch {
+		case o.Name == u.Name && o.Incarnation == u.Incarnation:
+			v.listed = true
+		case o.Name == u.Name || o.Address == u.Address:
+			v.replaced = v.replaced || o.Incarnation > u.Incarnation
+		case o.Zone == u.Zone:
+			v.zoneHeard = true
+		}
+	}
+	return v
+}
+
+// judge returns the result of a check; it is empty while nothing can be told. Without heartbeats of a whole data centre, the
+// network is a likelier cause than the crash of each upstream there.
+func judge(v view) string {
+	switch {
+	case v.leaving:
+		return checkLeft
+	case v.replaced:
+		return checkReplaced
+	case !v.listed && v.zoneHeard:
+		return checkSilent
+	}
+	return ""
+}
