Limit heads, blocks that are no event, and what follows an answer of an upstream

What callers saw, in a test: a server that sends a status line, headers or the head of an interim answer without end kept its caller until the deadline (504 instead of 502 or a retry), and 64 such answers made the VM allocate 3.1 GB in 1.3 s, more than ten times its memory. Blank lines and garbage in an event stream were passed on as an answer, 110 MB in 0.9 s. Cause: the pool reads heads with http.ReadResponse, which has no limit; the transports had theirs. Events were limited one by one at 1 MB, blocks without a field not at all, and they reset the timer of silence. The rest of a prefill answer was read to its end by the body's Close, the body of a refusal without a limit of time, and bytes on an idle connection were not looked for until its next use. Fix: limits of bytes for all that precedes a body, for events and for what is none, and of time for the body of a refusal; a body is never read on for its end alone; idle connections with bytes on them are closed. Plain answers are held up to 64 KB instead of 1 MB, because 330 connections at 1 MB do not fit into a VM; a broken answer between these sizes is cut where it was retried before. The OpenAI face ends a stream after 256 KB without a token. A body that may be long is passed on until the deadline, before and now, as the protocol gives it no other end.

--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -24,8 +25,9 @@
 	keepAliveProbes   = 2
 	maxInlineWrite    = 8 << 10 // a longer request is written by its own goroutine while the answer is read
 	readBufferSize    = 4 << 10
-	maxForeignAnswers = 2 // answers to earlier requests that are skipped; one more closes the connection
-	maxInterimAnswers = 4 // 1xx responses per request
+	maxHeadBytes      = 64 << 10 // of everything before the body of the answer: interim answers, answers to earlier requests, the head
+	maxForeignAnswers = 2        // answers to earlier requests that are skipped; one more closes the connection
+	maxInterimAnswers = 4        // 1xx responses per request
 )
 
 // Errors of a Pool that callers distinguish.
@@ -33,6 +35,7 @@
 	ErrTooManyConns     = errors.ConstError("the upstream has as many connections as this VM may open")
 	ErrMismatchedAnswer = errors.ConstError("the answer belongs to another request")
 	ErrNotAllowed       = errors.ConstError("the request was held back at its write")
+	errHeadTooLarge     = errors.ConstError("no answer within the limit of its head")
 )
 
 // Pool keeps connections to upstreams. Each connection carries one request at a time. The pool never sends a request
@@ -55,6 +58,7 @@
 	pool        *Pool
 	address     string
 	conn        net.Conn
+	head        *headReader // source of r
 	r           *bufio.Reader
 	idleSince   time.Time     // time at which it became idle
 	idleTimeout time.Duration // longest time that it may stay idle
@@ -62,6 +66,39 @@
 	closeOnce   sync.Once
 }
 
+// headReader limits the bytes that are read from a connection until the limit is lifted. An upstream in trouble may send a
+// head without end.
+type headReader struct {
+	conn  net.Conn
+	limit int // bytes that may still be read; negative is unlimited
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.limit < 0 {
+		return h.conn.Read(p)
+	}
+	if h.limit == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.conn.Read(p[:min(len(p), h.limit)])
+	h.limit -= n
+	return n, err
+}
+
+// body is the body of an answer. It knows whether its end was reached.
+type body struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // Message is a request to be written to an upstream.
 type Message struct {
 	Method  string
@@ -163,6 +200,7 @@
 // read returns the answer to m. It skips 1xx responses and late answers to earlier requests.
 func (pc *pooledConn) read(m *Message) (*http.Response, error) {
 	req := &http.Request{Method: m.Method}
+	pc.head.limit = maxHeadBytes
 	interims, foreign := 0, 0
 	for {
 		resp, err := http.ReadResponse(pc.r, req)
@@ -176,10 +214,12 @@
 			continue
 		}
 		if m.IsOwnAnswer == nil || m.IsOwnAnswer(resp.Header) {
+			pc.head.limit = -1
+			resp.Body = &body{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
 			return resp, nil
 		}
 		pc.dirty = true
-		if foreign++; foreign > maxForeignAnswers || resp.ContentLength < 0 || resp.Close {
+		if foreign++; foreign > maxForeignAnswers || resp.ContentLength < 0 || resp.ContentLength > maxHeadBytes || resp.Close {
 			return nil, ErrMismatchedAnswer
 		}
 		if _, err := pc.r.Discard(int(resp.ContentLength)); err != nil {
@@ -188,9 +228,9 @@
 	}
 }
 
-// Finish ends a reply whose body was read to its end. The connection goes back to the pool if it can be reused.
+// Finish ends a reply. The connection goes back to the pool if the body was read to its end and the connection can be
+// reused. The rest of a body is not read, because it may have no end.
 func (r *Reply) Finish() {
-	r.Body.Close()
 	if !r.stopAfterFunc() || !r.reusable() {
 		r.pooledConn.close()
 		return
@@ -202,6 +242,9 @@
 // reusable reports whether the connection can carry another request: the upstream does not close it, no extra bytes
 // have arrived on it, and the request was written completely.
 func (r *Reply) reusable() bool {
+	if b, ok := r.Body.(*body); !ok || !b.ended {
+		return false
+	}
 	if r.Response.Close || r.pooledConn.dirty || r.pooledConn.r.Buffered() > 0 {
 		return false
 	}
@@ -286,7 +329,10 @@
 		return nil, err
 	}
 	p.Opened.Add(1)
-	return &pooledConn{pool: p, address: address, conn: c, idleTimeout: poolIdleTimeout, r: bufio.NewReaderSize(c, readBufferSize)}, nil
+	head := &headReader{conn: c}
+	return &pooledConn{
+		pool: p, address: address, conn: c, idleTimeout: poolIdleTimeout, head: head, r: bufio.NewReaderSize(head, readBufferSize),
+	}, nil
 }
 
 // release returns pc to the idle connections.
@@ -309,15 +355,15 @@
 	}
 }
 
-// CloseStale closes the idle connections whose idle timeout has passed at now, and those to addresses for which wanted returns
-// false.
+// CloseStale closes the idle connections whose idle timeout has passed at now, those on which the upstream has sent bytes that
+// belong to no request or a close, and those to addresses for which wanted returns false.
 func (p *Pool) CloseStale(now time.Time, wanted func(address string) bool) {
 	var expired []*pooledConn
 	p.mu.Lock()
 	for address, h := range p.hosts {
 		var kept []*pooledConn
 		for _, pc := range h.idle {
-			if now.Sub(pc.idleSince) < pc.idleTimeout && wanted(address) {
+			if wanted(address) && pc.usable(now) {
 				kept = append(kept, pc)
 			} else {
 				expired = append(expired, pc)
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -23,8 +23,9 @@
 
 const (
 	headerDeadline    = "Wagtaillift-Deadline"
-	maxLineBytes      = 64 << 10 // longest line of an event stream
-	maxResumableBytes = 16 << 20 // bytes of one response kept for resuming it
+	maxLineBytes      = 64 << 10  // longest line of an event stream
+	maxNoiseBytes     = 256 << 10 // bytes of a stream without a new token, such as comments
+	maxResumableBytes = 16 << 20  // bytes of one response kept for resuming it
 	eventEnd          = "end"
 )
 
@@ -102,11 +103,15 @@
 	defer r.Reset(nil)
 	prefix := append([]byte(want), '/')
 	var ev event
+	noise := 0 // bytes since the last token
 	for {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
 			return streamError(err)
 		}
+		if noise += len(line); noise > maxNoiseBytes {
+			return errors.Errorf("more than %d bytes without a token", maxNoiseBytes)
+		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) > 0 {
 			if err := ev.parseLine(line, prefix, buf.data[:0]); err != nil {
@@ -115,10 +120,14 @@
 			continue
 		}
 		idleTimer.Reset(streamIdleTimeout)
+		before := pr.tokens
 		done, err := ev.deliver(out, pr)
 		if done || err != nil {
 			return err
 		}
+		if pr.tokens > before {
+			noise = 0
+		}
 		p.recordToken(pr.tokens)
 		ev = event{}
 	}
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -17,14 +17,15 @@
 )
 
 const (
-	maxUnsentRetries        = 4       // retries on other upstreams after attempts that sent no byte
-	maxNotRunRetries        = 1       // retries after an upstream refused the request without running it
-	maxBufferedBytes        = 1 << 20 // answers up to this size are buffered before their first byte goes to the caller
+	maxUnsentRetries        = 4        // retries on other upstreams after attempts that sent no byte
+	maxNotRunRetries        = 1        // retries after an upstream refused the request without running it
+	maxBufferedBytes        = 64 << 10 // answers up to this size are buffered before their first byte goes to the caller
 	copyBufferBytes         = 16 << 10
 	firstEventTimeoutFactor = 3.0                     // maximum silence before the first event of a resumable stream, as a multiple of the objective
 	minSilenceTimeout       = 1500 * time.Millisecond // lower bound of the maximum silence, both before and between events
 	gapTimeoutFactor        = 4.0                     // maximum silence within a resumable stream, as a multiple of the route's event gap
 	safeTimeoutFactor       = 1.5                     // minimum time for an attempt at a safe call, as a multiple of the objective; half of the remaining time if that is longer
+	drainTimeout            = 50 * time.Millisecond   // for the body of a refusal, whose only use is that the connection can be kept
 	minRetryTime            = 20 * time.Millisecond   // time left below which a request that may have run is not retried
 	deadlineMargin          = 30 * time.Millisecond   // between the last moment for an attempt and the caller's deadline
 )
@@ -213,7 +214,7 @@
 		return f.attemptFailed(ctx, c, sel, p, sent, err)
 	}
 	if a.NotRun {
-		a.Release(drain(a.Body))
+		drain(a)
 		sel.u.Stats.RecordOutcome(false)
 		return &attemptError{err: errors.Errorf("status %d, not run", a.Status), sent: true, notRun: true}
 	}
@@ -236,10 +237,14 @@
 	return f.attemptFailed(ctx, c, sel, p, true, err)
 }
 
-// drain reads the rest of a small body and reports whether it reached the end.
-func drain(r io.Reader) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(r, copyBufferBytes))
-	return err == nil && n < copyBufferBytes
+// drain reads the rest of a small body so that its connection can be reused, and closes the connection if the body is long
+// or slow.
+func drain(a *Answer) {
+	timeout := time.AfterFunc(drainTimeout, func() { a.Release(false) })
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, copyBufferBytes))
+	if timeout.Stop() {
+		a.Release(err == nil && n < copyBufferBytes)
+	}
 }
 
 // newTarget returns the destination and options for sending c to the upstream of sel.
@@ -298,11 +303,13 @@
 func (f *Forwarder) forwardPlain(c *Call, sel *selection, p *progress, a *Answer, out Sink) error {
 	sel.finishPrefill()
 	f.countUsage(c)
-	data, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	var buf bytes.Buffer // doubles its size, unlike io.ReadAll
+	_, err := buf.ReadFrom(io.LimitReader(a.Body, maxBufferedBytes))
 	if err != nil {
 		a.Release(false)
 		return err
 	}
+	data := buf.Bytes()
 	c.sent = true
 	if len(data) == maxBufferedBytes {
 		p.answerBegun = true
@@ -357,19 +364,27 @@
 func (f *Forwarder) forwardStream(c *Call, sel *selection, p *progress, a *Answer, out Sink, silence *silenceTimer, start time.Time) error {
 	ev := events{r: a.Body}
 	first := true
+	var held []byte // blocks before the first event, which may be no event stream at all
 	for {
-		data, err := ev.next()
+		data, block, err := ev.next()
 		if errors.Is(err, io.EOF) {
 			a.Release(true)
-			if !p.answerBegun {
-				return f.beginAnswer(p, a, out)
+			if p.answerBegun {
+				return nil
 			}
-			return nil
+			if err := f.beginAnswer(p, a, out); err != nil || len(held) == 0 {
+				return err
+			}
+			return out.Write(held)
 		}
 		if err != nil {
 			a.Release(false)
 			return err
 		}
+		if !block.fields && !block.comments && !p.answerBegun {
+			held = append(held, data...)
+			continue
+		}
 		if first {
 			first = false
 			f.recordFirstEvent(c, sel, start)
@@ -380,15 +395,19 @@
 				return err
 			}
 		}
+		if len(held) > 0 {
+			data, held = append(held, data...), nil
+		}
 		if out.Write(data) != nil {
 			a.Release(false)
 			return ErrCallerGone
 		}
-		silence.reset()
-		lastEventID, n := scanEventIDs(data)
-		c.events += n
-		if lastEventID != "" {
-			c.lastEventID = lastEventID
+		if block.fields {
+			silence.reset()
+		}
+		c.events += block.ids
+		if block.lastID != "" {
+			c.lastEventID = block.lastID
 		}
 	}
 }
--- a/internal/services/forward/events.go
+++ b/internal/services/forward/events.go
@@ -7,8 +7,10 @@
 	"github.com/juju/errors"
 )
 
-// maxEventBytes is the maximum size of one event.
-const maxEventBytes = 1 << 20
+const (
+	maxEventBytes = 64 << 10 // of one event
+	maxNoiseBytes = 64 << 10 // of blocks without a field between two events
+)
 
 // errTruncatedEvent means that a stream ended inside an event.
 const errTruncatedEvent = errors.ConstError("the stream ended inside an event")
@@ -18,6 +20,7 @@
 	r     io.Reader
 	data  []byte
 	start int // offset of the first byte not returned yet
+	noise int // bytes of blocks without a field since the last event
 }
 
 const minReadBytes = 4 << 10 // minimum free space of the buffer before a read
@@ -25,27 +28,38 @@
 var (
 	eventEndLF   = []byte("\n\n")
 	eventEndCRLF = []byte("\r\n\r\n")
-	idField      = []byte("id:")
 )
 
 // next returns the complete events that have arrived, at least one, or io.EOF at the end of the stream. The result is
-// valid until the next call.
-func (e *events) next() ([]byte, error) {
+// valid until the next call. More than maxNoiseBytes without an event are an error.
+func (e *events) next() ([]byte, block, error) {
 	for {
 		if n := completeLength(e.data[e.start:]); n > 0 {
 			whole := e.data[e.start : e.start+n]
 			e.start += n
-			return whole, nil
+			b := scanBlock(whole)
+			return whole, b, e.countNoise(whole, b)
 		}
 		if err := e.fill(); err != nil {
 			if errors.Is(err, io.EOF) && e.start < len(e.data) {
-				return nil, errTruncatedEvent
+				return nil, block{}, errTruncatedEvent
 			}
-			return nil, err
+			return nil, block{}, err
 		}
 	}
 }
 
+func (e *events) countNoise(whole []byte, b block) error {
+	if b.fields {
+		e.noise = 0
+		return nil
+	}
+	if e.noise += len(whole); e.noise > maxNoiseBytes {
+		return errors.Errorf("more than %d bytes that are no event", maxNoiseBytes)
+	}
+	return nil
+}
+
 func (e *events) fill() error {
 	if e.start > 0 {
 		e.data = append(e.data[:0], e.data[e.start:]...)
@@ -78,13 +92,29 @@
 	return n
 }
 
-// scanEventIDs returns the ID of the last event in whole, and the number of events with an ID.
-func scanEventIDs(whole []byte) (last string, n int) {
+// block describes some complete events.
+type block struct {
+	fields   bool   // at least one line is a field of an event
+	comments bool   // at least one line is a comment
+	lastID   string // ID of the last event
+	ids      int    // number of events with an ID
+}
+
+// scanBlock returns the properties of the events in whole.
+func scanBlock(whole []byte) (b block) {
 	for line := range bytes.Lines(whole) {
-		if v, ok := bytes.CutPrefix(line, idField); ok {
-			last = string(bytes.TrimSpace(v))
-			n++
+		line = bytes.TrimSpace(line)
+		name, v, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			b.lastID = string(bytes.TrimSpace(v))
+			b.ids++
+			b.fields = true
+		case "data", "event", "retry":
+			b.fields = true
+		case "":
+			b.comments = b.comments || len(line) > 0
 		}
 	}
-	return last, n
+	return b
 }
--- a/internal/services/order/sender.go
+++ b/internal/services/order/sender.go
@@ -57,7 +57,8 @@
 func NewSender() *Sender {
 	d := &net.Dialer{Timeout: sendTimeout, Control: upstream.TCPUserTimeout(tcpUserTimeout)}
 	t := &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxReplyBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
 			if err != nil {
