Begin the retry budgets of a restarted VM empty

Cause: each VM keeps its share of the fleet's retry budget for itself, in memory, and began with a full one, although the process before may have spent its share in the same window. New setting route.retries.window, 10s.

--- a/internal/modules/setting/setting.go
+++ b/internal/modules/setting/setting.go
@@ -73,10 +73,12 @@
 	Retries          Retries       `json:"retries"`
 }
 
-// Retries is the fleet-wide retry budget of each service: a fraction of its first attempts, and a burst in requests.
+// Retries is the fleet-wide retry budget of each service: a fraction of its first attempts, and a burst in requests. Within any
+// Window no more retries are sent.
 type Retries struct {
-	Ratio float64 `json:"part" range:"0..1"`
-	Burst float64 `json:"burst" range:"0..100000"`
+	Ratio  float64       `json:"part" range:"0..1"`
+	Burst  float64       `json:"burst" range:"0..100000"`
+	Window time.Duration `json:"window" range:"1s..10m"`
 }
 
 // Limit is the tolerance above what rate and burst allow a customer within any Span: Over is a fraction of that amount, and
@@ -126,7 +128,7 @@
 		Peers:    Peers{Cert: "cert", Trust: "fleet"},
 		Data:     Data{Voters: 3, ReplaceVoterAfter: time.Minute},
 		Caller:   Caller{Body: 8 << 20, MaxHeader: 32 << 10, ReadTimeout: 10 * time.Second},
-		Route:    Route{Policy: "fair", Scope: "zone", HeartbeatTimeout: 2 * time.Second, Retries: Retries{Ratio: 0.1, Burst: 20}},
+		Route:    Route{Policy: "fair", Scope: "zone", HeartbeatTimeout: 2 * time.Second, Retries: Retries{Ratio: 0.1, Burst: 20, Window: 10 * time.Second}},
 		Lease:    Lease{VM: 15 * time.Second, ExclusiveRole: 6 * time.Second, ElectionTimeout: time.Second},
 		Shutdown: Shutdown{RefuseDelay: time.Second, DrainTimeout: 2 * time.Minute, Leave: 5 * time.Second},
 		Billing:  Billing{Window: time.Minute, SealDelay: 3 * time.Second},
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -22,7 +22,7 @@
 const (
 	cleanupInterval     = 2 * time.Second
 	memoryLimitFraction = 0.7 // fraction of the configured memory set as Go's soft memory limit; the rest is for stacks and buffers
-	retryBudgetFraction = 0.8 // fraction of the retry budget that is divided between VMs, because a restarted VM begins with a full share
+	retryBudgetFraction = 0.8 // fraction of the retry budget that is divided between VMs, because shares grow when a VM that spent its own is lost
 	megabyte            = 1 << 20
 )
 
@@ -44,6 +44,10 @@
 	}
 	server := &platformServer{pool: &upstream.Pool{}}
 	v.platform = server
+	var emptyUntil time.Duration
+	if !v.cfg.Data.FirstStart {
+		emptyUntil = clock.SinceBoot() + v.cfg.Route.Retries.Window
+	}
 	server.forwarder = &forward.Forwarder{
 		Config: a.Config, Guard: a, Limiter: v.limiter, Roster: v.roster,
 		UpstreamClient: &platform.UpstreamClient{Pool: server.pool}, Meter: v.meter, Quarantine: v.quarantineList,
@@ -54,7 +58,7 @@
 		Orders: a.State().LatestOrders,
 		Retries: forward.Retries{
 			Ratio: retryBudgetFraction * v.cfg.Route.Retries.Ratio,
-			Burst: retryBudgetFraction * v.cfg.Route.Retries.Burst,
+			Burst: retryBudgetFraction * v.cfg.Route.Retries.Burst, EmptyUntil: emptyUntil,
 		},
 	}
 	server.caller = &platform.Caller{
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithDeadline(parent, c.deadline.Add(-deadlineMargin))
 	defer cancel()
 	if len(c.attempts) == 0 {
-		f.budgets.Get(c.service.ID).Earn(f.Retries.Ratio)
+		f.retryBudget(c).Earn(f.Retries.Ratio)
 	}
 	for {
 		sel, err := f.choose(c, p)
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -42,6 +42,9 @@
 type Retries struct {
 	Ratio float64 // ratio of retries to first attempts
 	Burst float64 // summed over all VMs
+	// EmptyUntil is the time, by clock.SinceBoot, up to which budgets begin empty: a process that ran before this one may have
+	// spent its share in the same window.
+	EmptyUntil time.Duration
 }
 
 // Forwarder forwards calls. Its exported fields must be set before the first call.
@@ -206,11 +209,19 @@
 	f.Meter.AddInWindow(f.Window(clock.SinceBoot()), c.customer.ID, c.service.ID, n)
 }
 
-// spendRetry takes one retry from the budget of c's service.
-func (f *Forwarder) spendRetry(c *Call) bool {
-	return f.budgets.Get(c.service.ID).Spend(f.Retries.Burst / float64(max(1, f.Members())))
+// retryBudget returns the retry budget of c's service.
+func (f *Forwarder) retryBudget(c *Call) *retry.Budget {
+	b := f.budgets.Get(c.service.ID)
+	b.Begin(clock.SinceBoot() < f.Retries.EmptyUntil, f.retryBurst())
+	return b
 }
 
+// retryBurst returns this VM's share of the burst of each budget.
+func (f *Forwarder) retryBurst() float64 { return f.Retries.Burst / float64(max(1, f.Members())) }
+
+// spendRetry takes one retry from the budget of c's service.
+func (f *Forwarder) spendRetry(c *Call) bool { return f.retryBudget(c).Spend(f.retryBurst()) }
+
 // print returns the fingerprint that identifies c among repeated requests. The request target takes the place of the
 // service. Requests without a body share it if they have the same target; the first that completes clears all of them.
 func (c *Call) print() quarantine.Fingerprint {
