Release upstreams early in one data centre at a time

Cause: a surplus of ordinary upstreams whose cheap replacements start in another data centre was released without counting it against what may be released, and the exception for one data centre was granted after another had used up the rest. Fix: both count; cheap upstreams that the plan gives up do too.

--- a/internal/services/scale/scale.go
+++ b/internal/services/scale/scale.go
@@ -171,8 +171,8 @@
 // there is still no room are not ordered yet.
 func (in *Input) keepUntilReplaced(zones []Zone, targets []Target, targetCount int) {
 	releasable := -in.minRunning(targetCount) // running upstreams above the minimum
-	for _, z := range zones {
-		releasable += z.Ordinary + min(z.Cheap, in.MaxPerZone-in.MinPerZone) // cheap ones beyond this give way to the minimum of ordinary ones
+	for i, z := range zones {
+		releasable += z.Ordinary + min(z.Cheap, in.MaxPerZone-in.MinPerZone, targets[i].Cheap) // cheap ones beyond this are released in any case
 	}
 	// release returns how many of n upstreams may be released early, and takes them from releasable.
 	release := func(n int) int {
@@ -180,21 +180,23 @@
 		releasable -= n
 		return n
 	}
-	// replacing is set once a data centre releases early regardless of minRunning.
+	// replacing is set once a data centre releases some before their replacements work.
 	replacing := false
 	for i := len(zones) - 1; i >= 0; i-- { // the most expensive first
 		z, target := zones[i], &targets[i]
 		surplus := max(0, z.Ordinary-target.Ordinary)
 		kept := min(surplus, max(0, target.Cheap-z.Cheap))
+		kept = surplus - release(surplus-kept) // the replacements of the others start in another data centre
 		if excess := min(kept, target.Ordinary+kept+target.Cheap-in.MaxPerZone); excess > 0 {
 			released := release(excess)
 			if !replacing && !replacementStarting(zones, targets, i) {
-				released, replacing = excess, true
+				released = excess
 			}
 			kept -= released
 		}
 		target.Ordinary += kept
 		target.Cheap = max(0, min(target.Cheap, in.MaxPerZone-target.Ordinary))
+		replacing = replacing || target.Ordinary < z.Ordinary && target.Cheap > z.Cheap
 	}
 }
 
--- a/internal/services/scale/scale_test.go
+++ b/internal/services/scale/scale_test.go
@@ -168,3 +168,30 @@
 		}
 	}
 }
+
+// Guards against two data centres that release ordinary upstreams at once, one of them as a surplus whose replacements start in the
+// other, or as all that may be released early.
+func TestOneDataCentreReplacesAtATime(t *testing.T) {
+	for name, v := range map[string]Input{
+		"replacements in another data centre": {
+			Zones:      []Zone{{Name: "z0", Price: 1, Ordinary: 2}, {Name: "z1", Price: 1, NoCheapUntil: time.Minute}, {Name: "z2", Price: 1, Ordinary: 2, Cheap: 3}},
+			MaxPerZone: 5, Cheap: 0.2, InitialCount: 1, Need: 4.5, ReclaimReserve: 0.1,
+		},
+		"after a release within the minimum": {
+			Zones:      []Zone{{Name: "z0", Price: 1, Ordinary: 2}, {Name: "z1", Price: 1, Ordinary: 2}},
+			MaxPerZone: 2, Cheap: 0.2, InitialCount: 1, Need: 1.5, ReclaimReserve: 0.1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			early, kept := 0, 0
+			for i, target := range Plan(time.Second, &v) {
+				z := v.Zones[i]
+				if target.Ordinary < z.Ordinary && target.Cheap > z.Cheap {
+					early++
+				}
+				kept += min(target.Ordinary, z.Ordinary) + min(target.Cheap, z.Cheap)
+			}
+			require.True(t, early <= 1 || kept >= v.minRunning(v.targetCount()), "%d data centres, %d upstreams kept", early, kept)
+		})
+	}
+}
