End the process when its replica stops

Cause: the replica stops at a disk error (log line 'Replica stopped after a disk error'), and Agent.Run then waited for its report and enrolment loops, which nothing ended. The VM stayed a member, counted as a voter, ignored every grant ('its index is not applied yet', applied=84 for 31 s), held up confirmations, and the loss of one more voter left no quorum. Ruled out: the enrolment of the emptied VM, which failed only because its peers answered 'the replica has stopped'. Fix: the failure ends the other loops, so the process ends with the error, is started again, and catches up once the disk has room.

--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -199,9 +199,11 @@
 	return ok && s.Leading && now < s.LeaseEnd
 }
 
-// Run replicates or follows the log, sends reports and performs the leader's duties until ctx ends.
+// Run replicates or follows the log, sends reports and performs the leader's duties until ctx ends or the replica fails.
 func (a *Agent) Run(ctx context.Context) error {
 	defer a.cancel()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg sync.WaitGroup
 	run := func(f func(context.Context)) {
 		wg.Add(1)
@@ -227,6 +229,7 @@
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+		cancel()
 	}
 	wg.Wait()
 	close(a.stopped)
