Hold blocks that are no event until another event follows; one log line a report

Such blocks are now held whether or not it has, and dropped if the stream fails (TestBlocksWithoutFields). A report of up to 1,000 requests wrote as many log lines; it writes one with the first 16 fingerprints and their crashes.

--- a/internal/routers/vm/quarantine.go
+++ b/internal/routers/vm/quarantine.go
@@ -24,10 +24,8 @@
 	v.detector = &quarantine.Detector{Roster: v.roster, List: v.quarantineList, Share: v.sharer.Share}
 	peer.Handle(v.transport, methodSuspects, func(_ context.Context, from id.VM, r suspect.Report) (bool, error) {
 		v.quarantineList.Apply(r)
-		for _, run := range r.Runs {
-			klog.InfoS("Crash reported", "from", from, "upstream", r.Upstream, "incarnation", r.Incarnation, "completed", r.Completed,
-				"fingerprint", run.Request, "crashes", len(v.quarantineList.Crashes(run.Request)))
-		}
+		klog.InfoS("Crash reported", "from", from, "upstream", r.Upstream, "incarnation", r.Incarnation, "completed", r.Completed,
+			"requests", len(r.Runs), "crashes", v.quarantineList.Describe(r))
 		if !r.Completed {
 			v.detector.Confirm(r.Upstream, r.Incarnation)
 		}
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -364,24 +364,18 @@
 func (f *Forwarder) forwardStream(c *Call, sel *selection, p *progress, a *Answer, out Sink, silence *silenceTimer, start time.Time) error {
 	ev := events{r: a.Body}
 	first := true
-	var held []byte // blocks before the first event, which may be no event stream at all
+	var held []byte // blocks that are no event, passed on only if another event or the end of the stream follows
 	for {
 		data, block, err := ev.next()
 		if errors.Is(err, io.EOF) {
 			a.Release(true)
-			if p.answerBegun {
-				return nil
-			}
-			if err := f.beginAnswer(p, a, out); err != nil || len(held) == 0 {
-				return err
-			}
-			return out.Write(held)
+			return f.endStream(p, a, out, held)
 		}
 		if err != nil {
 			a.Release(false)
 			return err
 		}
-		if !block.fields && !block.comments && !p.answerBegun {
+		if !block.fields && !block.comments {
 			held = append(held, data...)
 			continue
 		}
@@ -412,6 +406,19 @@
 	}
 }
 
+// endStream passes on what is left of a complete stream.
+func (f *Forwarder) endStream(p *progress, a *Answer, out Sink, rest []byte) error {
+	if !p.answerBegun {
+		if err := f.beginAnswer(p, a, out); err != nil {
+			return err
+		}
+	}
+	if len(rest) > 0 && out.Write(rest) != nil {
+		return ErrCallerGone
+	}
+	return nil
+}
+
 func (f *Forwarder) beginAnswer(p *progress, a *Answer, out Sink) error {
 	p.answerBegun = true
 	if err := out.Begin(a); err != nil {
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -518,3 +518,29 @@
 		}
 	})
 }
+
+// Blocks that are no event are passed on unchanged between events and at the end of a stream, but not before a failure.
+func TestBlocksWithoutFields(t *testing.T) {
+	noise := "noise\n\n"
+	for name, c := range map[string]struct {
+		body      string
+		truncated bool
+		want      string
+	}{
+		"before an event":    {noise + sampleEvents(1, 2), false, noise + sampleEvents(1, 2)},
+		"between events":     {sampleEvents(1, 1) + noise + sampleEvents(2, 2), false, sampleEvents(1, 1) + noise + sampleEvents(2, 2)},
+		"at the end":         {sampleEvents(1, 1) + noise, false, sampleEvents(1, 1) + noise},
+		"nothing else":       {noise, false, noise},
+		"before a failure":   {noise, true, ""},
+		"comments go ahead":  {":\n\n", true, ":\n\n"},
+		"event, then failed": {sampleEvents(1, 1), true, sampleEvents(1, 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, sendResult{status: 200, stream: true, body: c.body, truncated: c.truncated})
+			out := &fakeSink{}
+			err := s.Serve(context.Background(), newCall("/stream/"), out)
+			require.Equal(t, c.truncated, err != nil)
+			require.Equal(t, c.want, out.body.String())
+		})
+	}
+}
--- a/internal/services/quarantine/detector.go
+++ b/internal/services/quarantine/detector.go
@@ -19,10 +19,9 @@
 )
 
 const (
-	probeTimeout    = 300 * time.Millisecond
-	watchTime       = 6 * time.Second // longer than an upstream stays listed without heartbeats
-	maxWatchedRuns  = 1000            // requests watched for one incarnation
-	maxLoggedPrints = 16              // fingerprints in one log line
+	probeTimeout   = 300 * time.Millisecond
+	watchTime      = 6 * time.Second // longer than an upstream stays listed without heartbeats
+	maxWatchedRuns = 1000            // requests watched for one incarnation
 )
 
 // incarnation is one run of an upstream's process.
@@ -153,19 +152,10 @@
 	if !ok {
 		return
 	}
-	prints := slices.Sorted(maps.Keys(w.runs))
+	r := d.List.RecordCrash(clock.SinceBoot(), k.name, k.number, w.runs)
 	klog.InfoS("Upstream crashed", "upstream", k.name, "incarnation", k.number, "address", w.u.Address, "reason", reason,
-		"requests", len(prints), "fingerprints", logged(prints))
-	d.share(d.List.RecordCrash(clock.SinceBoot(), k.name, k.number, w.runs))
-}
-
-// logged returns the first fingerprints of list for a log line.
-func logged(list []Fingerprint) []string {
-	var out []string
-	for _, p := range list[:min(len(list), maxLoggedPrints)] {
-		out = append(out, p.String())
-	}
-	return out
+		"requests", len(r.Runs), "crashes", d.List.Describe(r))
+	d.share(r)
 }
 
 func (d *Detector) share(r suspect.Report) {
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -123,6 +124,16 @@
 	return r
 }
 
+// Describe returns the fingerprints of a report with the number of crashes of each, for a log line. It stops after a few.
+func (l *List) Describe(r suspect.Report) []string {
+	const maxPrints = 16
+	var list []string
+	for _, run := range r.Runs[:min(len(r.Runs), maxPrints)] {
+		list = append(list, fmt.Sprintf("%s:%d", run.Request, len(l.Crashes(run.Request))))
+	}
+	return list
+}
+
 // Len returns the number of suspects that this VM knows.
 func (l *List) Len() int {
 	committed := l.committed()
