emulate: applications that requests crash; plain crashing requests in a fleet

The emulator's engines had requests that crash them, its applications none, so that plain requests, without a body or with a key, were never tried in a fleet. TestCrashingPlainRequestIsQuarantined sends five kinds to both VMs until they are refused: at most 3 crashes each, on this code. No change of what a VM does.

--- a/cmd/emulate.go
+++ b/cmd/emulate.go
@@ -45,6 +45,8 @@
 	engine.Announcement
 	Announce []string `json:"announce"`
 	Delay    string   `json:"delay"`
+	Crash    string   `json:"crash"`   // text of requests that crash the application
+	Restart  string   `json:"restart"` // after a crash
 }
 
 func (a *emulateArgs) run(ctx context.Context, out io.Writer) error {
@@ -102,11 +104,16 @@
 		if err != nil {
 			return err
 		}
+		restart, err := parseOptionalDuration(p.Restart)
+		if err != nil {
+			return err
+		}
 		if runCounters[p.Service] == nil {
 			runCounters[p.Service] = &emulate.RunCounter{}
 		}
 		x := &emulate.App{
 			Announcement: p.Announcement, Announce: p.Announce, Credential: secret, RunCounter: runCounters[p.Service], Delay: delay,
+			CrashText: p.Crash, Restart: restart,
 		}
 		if err := x.Start(ctx); err != nil {
 			return err
--- a/internal/routers/vm/fleet_test.go
+++ b/internal/routers/vm/fleet_test.go
@@ -229,7 +229,13 @@
 }
 
 func (f *fleet) startApp(name string, svc id.Service) *emulate.App {
+	return f.startCrashingApp(name, svc, "")
+}
+
+// startCrashingApp starts an application that requests with this text in their target or body crash.
+func (f *fleet) startCrashingApp(name string, svc id.Service, text string) *emulate.App {
 	a := &emulate.App{
+		CrashText: text, Restart: 300 * time.Millisecond,
 		Announcement: engine.Announcement{Name: id.Upstream(name), Zone: testZone, Address: "127.0.0.1:0", Service: svc},
 		Announce:     f.announceURLs(), Credential: f.secrets["upstream"], RunCounter: f.runCounter,
 	}
--- a/internal/routers/vm/vm_test.go
+++ b/internal/routers/vm/vm_test.go
@@ -283,6 +283,47 @@
 	})
 }
 
+// TestCrashingPlainRequestIsQuarantined sends requests of each kind that crash every application that runs them, again and again
+// to both VMs.
+func TestCrashingPlainRequestIsQuarantined(t *testing.T) {
+	f := newFleet(t, 2)
+	for i := range 4 {
+		f.startCrashingApp(fmt.Sprint("app", i), testApp, "poison")
+	}
+	f.waitForUpstreams(4)
+	crashes := func() (n int) {
+		for _, a := range f.apps {
+			n += a.Crashes()
+		}
+		return n
+	}
+	for name, c := range map[string]struct {
+		method, path, body string
+		keyed              bool
+	}{
+		"GET": {"GET", "/s/booking/poison-get", "", false}, "PUT": {"PUT", "/s/booking/put", "poison put", false},
+		"POST": {"POST", "/s/booking/post", "poison post", false}, "POST without a body": {"POST", "/s/booking/poison-empty", "", false},
+		"POST with keys": {"POST", "/s/booking/keyed", "poison keyed", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before, refused := crashes(), 0
+			for i := 0; refused < 4; i++ {
+				require.Less(t, i, 400, "still sent")
+				var head []string
+				if c.keyed {
+					head = []string{"Idempotency-Key", fmt.Sprint(name, i)}
+				}
+				resp, body := f.callVM(f.vms[i%2], c.method, c.path, f.secrets["one"], c.body, head...)
+				if strings.Contains(body, string(call.Quarantined)) && resp.StatusCode == http.StatusUnprocessableEntity {
+					refused++
+				}
+				time.Sleep(pollInterval)
+			}
+			require.LessOrEqual(t, crashes()-before, 3)
+		})
+	}
+}
+
 // A VM that joins after the crashes must not send the request once more.
 func TestQuarantineReachesNewVM(t *testing.T) {
 	f := newFleet(t, 2)
--- a/internal/services/emulate/app.go
+++ b/internal/services/emulate/app.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/usage"
@@ -64,12 +65,17 @@
 	Credential   string   // upstream credential
 	RunCounter   *RunCounter
 	Delay        time.Duration // before each answer
+	CrashText    string        // a request whose target or body contains this text crashes the application; empty for none
+	Restart      time.Duration // after a crash; zero never restarts
 
 	mu             sync.Mutex
 	requestHeaders []http.Header
 	server         *http.Server
 	state          engine.State
 	stopAnnouncing context.CancelFunc
+	parent         context.Context // of Start
+	crashes        int
+	crashed        bool // and not restarted yet
 }
 
 // Start listens on the announced address and announces the application periodically until ctx ends.
@@ -81,9 +87,10 @@
 	a.mu.Lock()
 	a.Announcement.Address = l.Addr().String()
 	a.Announcement.Incarnation = uint64(time.Now().UnixNano())
-	a.state = engine.Ready
+	a.state, a.crashed = engine.Ready, false
 	a.server = &http.Server{Handler: a, ReadHeaderTimeout: time.Minute}
 	srv := a.server
+	a.parent = ctx
 	ctx, a.stopAnnouncing = context.WithCancel(ctx)
 	a.mu.Unlock()
 	go srv.Serve(l)
@@ -102,8 +109,43 @@
 
 // Kill stops the application abruptly, as if its process were killed.
 func (a *App) Kill() {
-	a.stopAnnouncing()
-	a.server.Close()
+	a.mu.Lock()
+	stop, srv := a.stopAnnouncing, a.server
+	a.mu.Unlock()
+	stop()
+	srv.Close()
+}
+
+// crash kills the application and starts it again after Restart as a new incarnation, unless the context of Start has ended.
+func (a *App) crash() {
+	a.mu.Lock()
+	if a.crashed {
+		a.mu.Unlock()
+		return
+	}
+	a.crashed = true
+	a.crashes++
+	ctx := a.parent
+	a.mu.Unlock()
+	a.Kill()
+	if a.Restart == 0 {
+		return
+	}
+	time.AfterFunc(a.Restart, func() {
+		if ctx.Err() != nil {
+			return
+		}
+		if err := a.Start(ctx); err != nil {
+			klog.ErrorS(err, "Application not restarted", "app", a.Announcement.Name)
+		}
+	})
+}
+
+// Crashes returns the number of crashes so far.
+func (a *App) Crashes() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.crashes
 }
 
 // RequestHeaders returns the headers of the first maxKeptHeaders requests.
@@ -144,6 +186,11 @@
 		return
 	}
 	time.Sleep(a.Delay)
+	if a.CrashText != "" && strings.Contains(r.RequestURI+string(body), a.CrashText) {
+		go a.crash()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if n, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/bytes/")); err == nil {
 		io.Copy(w, io.LimitReader(zeroReader{}, int64(n)))
 		return
