Let the short holds of VMs end one after the other

Callers that send a crashing request to many VMs at once could crash an upstream through each of them when the hold of a minute ends everywhere at the same moment, if the crashes before had come together as well: more than the three sends that are allowed after the third crash. The hold now ends on each VM after one to two times its length, by name and fingerprint, so that the first one's crash is known when the next one ends (TestShortHoldsEndInTurn; without the stagger all nine end in the same second).

--- a/internal/routers/vm/quarantine.go
+++ b/internal/routers/vm/quarantine.go
@@ -18,6 +18,7 @@
 
 // buildQuarantine creates the list of requests that crash upstreams, and registers the peer methods for it.
 func (v *VM) buildQuarantine() {
+	v.quarantineList.VM = v.authority.VM()
 	v.quarantineList.FleetTime = v.authority.FleetTime
 	v.quarantineList.Committed = v.authority.State().Suspects
 	v.sharer = quarantine.NewSharer(v.broadcastSuspects, v.commitSuspects)
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -28,6 +28,8 @@
 
 // List holds the suspects, the refused requests and the reservations of engines. The zero value is an empty list.
 type List struct {
+	// VM is the name of this VM, which decides when its short holds end.
+	VM id.VM
 	// FleetTime returns the fleet's time at now. Nil takes now as the time since the Unix epoch.
 	FleetTime func(now time.Duration) time.Time
 	// Committed returns the suspects in the replicated log; nil if there is none.
@@ -150,6 +152,9 @@
 
 // Refused returns how much longer p is refused, and whether it is refused at all.
 func (l *List) Refused(now time.Duration, p Fingerprint, h suspect.Hold) (time.Duration, bool) {
+	if h.Short < h.Long {
+		h.Short = l.stagger(h.Short, p)
+	}
 	until, ok := l.Crashes(p).RefusedUntil(h)
 	left := until.Sub(l.millis(now))
 	if !ok || left <= 0 {
@@ -158,6 +163,13 @@
 	return left, true
 }
 
+// stagger lengthens a hold by up to its own length, differently on each VM. When the holds of a request that was sent to many
+// VMs at once end, one VM shows whether it crashes another upstream before the others let it through.
+func (l *List) stagger(hold time.Duration, p Fingerprint) time.Duration {
+	const parts = 1024
+	return hold + hold*time.Duration(hash.Combine(hash.String(l.VM), uint64(p))%parts)/parts
+}
+
 // IsSuspect reports whether p ran on an engine that crashed.
 func (l *List) IsSuspect(p Fingerprint) bool { return len(l.Crashes(p)) > 0 }
 
--- a/internal/services/quarantine/quarantine_test.go
+++ b/internal/services/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,6 +68,26 @@
 	require.Len(t, l.Crashes(print), 1)
 }
 
+// A caller that sends its request to many VMs at once must not crash an upstream through each of them when the hold ends.
+func TestShortHoldsEndInTurn(t *testing.T) {
+	const vms = 9
+	ends := map[time.Duration]bool{}
+	for i := range vms {
+		l := List{VM: id.VM(fmt.Sprint("vm", i))}
+		l.crash(2*time.Second, "u1")
+		l.crash(4*time.Second, "u2")
+		wait, refused := l.Refused(4*time.Second, print, hold)
+		require.True(t, refused)
+		require.GreaterOrEqual(t, wait, hold.Short)
+		require.Less(t, wait, 2*hold.Short)
+		ends[wait.Truncate(time.Second)] = true
+		l.crash(80*time.Second, "u3")
+		wait, _ = l.Refused(80*time.Second, print, hold)
+		require.Equal(t, hold.Long, wait)
+	}
+	require.Greater(t, len(ends), vms/2, "different seconds")
+}
+
 // A report must reach the log although no leader answers for a while.
 func TestReportIsProposedUntilCommitted(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
