Start a control VM once its disk has room

Cause: nothing is written between the start and the first entry, so the VM took part in the fleet until then. Fix: serve writes and syncs a small file in the data folder before anything else, and waits while that fails for lack of space; any other error ends the start at once, as does SIGTERM.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -24,6 +24,7 @@
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/setting"
+	"wagtaillift/internal/modules/wal"
 	"wagtaillift/internal/routers/vm"
 	"wagtaillift/internal/services/authority"
 	"wagtaillift/internal/services/emulate"
@@ -46,6 +47,11 @@
 		return err
 	}
 	configureLog(cfg.Log.Verbosity)
+	if cfg.Data.Folder != "" {
+		if err := wal.AwaitRoom(ctx, cfg.Data.Folder); err != nil {
+			return err
+		}
+	}
 	v, err := vm.New(cfg)
 	if err != nil {
 		return err
