--- a/internal/services/dispatch/plain_test.go
+++ b/internal/services/dispatch/plain_test.go
@@ -164,18 +164,18 @@
 	cfg  *state.Config
 }
 
-func newTestFleet(t require.TestingT, faults []fault) *testFleet {
+func newTestFleet(t require.TestingT, list []fault) *testFleet {
 	b := &testFleet{cfg: &state.Config{Defaults: policy.Defaults{policy.RetryRatio: 1, policy.Wait: 0}}}
 	r := roster.New("vm1", "a", 1, func() {})
-	for i, f := range faults {
+	for i, f := range list {
 		x := newFakeApp(t, f)
 		b.apps = append(b.apps, x)
 		require.NoError(t, r.Announce(clock.SinceBoot(), engine.Announcement{
 			Name: id.Upstream(fmt.Sprint("app", i)), Zone: "a", Address: x.l.Addr().String(), State: engine.Ready, Service: "s",
 		}))
 	}
-	list := &quarantine.List{}
-	b.d = &Dispatcher{Roster: r, Client: upstream.New(), Quarantine: list, Detector: &quarantine.Detector{Roster: r, List: list}}
+	suspects := &quarantine.List{}
+	b.d = &Dispatcher{Roster: r, Client: upstream.New(), Quarantine: suspects, Detector: &quarantine.Detector{Roster: r, List: suspects}}
 	return b
 }
 
