Log the prompt parts of requests and the answers that end with their connection

Requests that crash upstreams may share only a part of their prompt. No log line named the parts, so that the hypotheses of the incident looked the same: counts by the wrong key, counts that are cleared, or crashes that are not attributed. Each attempt that fails and each finished request now names its shared parts, and answers without a length or a last chunk are named, since their end may be a crash of the upstream. Nothing is decided by it yet.

--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -239,6 +239,11 @@
 	r.pooledConn.pool.release(r.pooledConn)
 }
 
+// Framed reports whether the end of the body is marked by its length or its last chunk.
+func (r *Reply) Framed() bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
 // reusable reports whether the connection can carry another request: the upstream does not close it, no extra bytes
 // have arrived on it, and the request was written completely.
 func (r *Reply) reusable() bool {
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -14,6 +14,7 @@
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/quarantine"
 )
 
 const (
@@ -229,6 +230,9 @@
 	}
 	if err == nil || errors.Is(err, ErrCallerGone) || errors.Is(err, errFailureKept) {
 		sel.u.Stats.RecordOutcome(false)
+		if err == nil && !a.Framed {
+			klog.InfoS("Answer ended with its connection", "request", c.ID, "upstream", sel.u.Name, "events", c.events, "parts", quarantine.JoinPrints(c.SharedParts))
+		}
 		if err == nil && a.Status/100 == 2 {
 			f.Detector.Completed(clock.SinceBoot(), sel.u, c.print())
 		}
@@ -283,7 +287,7 @@
 		sel.u.Stats.RecordOutcome(true)
 		f.checkCrash(ctx, c, sel)
 	}
-	klog.InfoS("Attempt failed", "request", c.ID, "fingerprint", c.print(), "upstream", sel.u.Name, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
+	klog.InfoS("Attempt failed", "request", c.ID, "fingerprint", c.print(), "parts", quarantine.JoinPrints(c.SharedParts), "upstream", sel.u.Name, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
 	return &attemptError{err: err, sent: sent}
 }
 
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -17,6 +17,7 @@
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/place"
+	"wagtaillift/internal/services/quarantine"
 )
 
 // Call is one request. The caller API sets the exported fields, this package the others.
@@ -32,6 +33,7 @@
 	Secret         string       // the caller's key; empty if missing
 	Model          id.Model     // empty for plain services
 	PromptParts    []place.Part // parts of the prompt; the last one is specific to the request or its session
+	SharedParts    []quarantine.Fingerprint // parts of the prompt that other requests may hold
 	PromptTokens   id.Tokens
 	OutputTokens   id.Tokens     // maximum number of tokens to generate
 	TokensDeclared bool          // PromptTokens and OutputTokens were given by the caller
@@ -76,6 +78,7 @@
 	NotRun  bool        // the upstream reported that it did not run the request
 	Stream  bool        // the body is an event stream
 	Length  int64       // length of the body; -1 if unknown
+	Framed  bool        // the end of the body is marked; otherwise the body ends with its connection
 	Body    io.Reader
 	Release func(whole bool) // reuses the connection if the body was read completely, and closes it otherwise
 }
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -234,7 +234,7 @@
 	if err != nil {
 		outcome = err.Error()
 	}
-	klog.InfoS("Request finished", "request", c.ID, "fingerprint", c.print(), "customer", c.customer.ID, "service", c.service.ID, "route", c.routeName(),
+	klog.InfoS("Request finished", "request", c.ID, "fingerprint", c.print(), "parts", quarantine.JoinPrints(c.SharedParts), "customer", c.customer.ID, "service", c.service.ID, "route", c.routeName(),
 		"version", c.configVersion(), "first", c.firstEventDelay.Round(time.Millisecond), "took", now.Sub(c.Start).Round(time.Millisecond), "events", c.events, "attempts", c.attempts, "outcome", outcome)
 }
 
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -131,7 +131,7 @@
 	if s.truncated {
 		body = io.MultiReader(body, brokenBody{})
 	}
-	a := &Answer{Status: s.status, Header: http.Header{"From": {string(t.Upstream)}}, NotRun: s.notRun, Stream: s.stream, Length: -1, Body: body}
+	a := &Answer{Status: s.status, Header: http.Header{"From": {string(t.Upstream)}}, NotRun: s.notRun, Stream: s.stream, Length: -1, Framed: true, Body: body}
 	a.Release = func(bool) {}
 	return a, true, nil
 }
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +27,20 @@
 	return Fingerprint(hash.Combine(hash.Combine(hash.String(c), hash.String(s)), hash.Bytes(body)))
 }
 
+// NewPartFingerprint returns the fingerprint of a part of a prompt. It is the same in every request that holds the part.
+func NewPartFingerprint(part string) Fingerprint {
+	return Fingerprint(hash.Combine(hash.String("prompt part"), hash.String(part)))
+}
+
+// JoinPrints returns the fingerprints as one word of a log line.
+func JoinPrints(list []Fingerprint) string {
+	words := make([]string, len(list))
+	for i, p := range list {
+		words[i] = p.String()
+	}
+	return strings.Join(words, ",")
+}
+
 // List holds the suspects, the refused requests and the reservations of engines. The zero value is an empty list.
 type List struct {
 	// VM is the name of this VM, which decides when its short holds end.
