--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -29,10 +29,10 @@
 	Path           string // path of Target
 	Header         http.Header
 	Body           []byte
-	HasBody        bool         // the caller sent a body, possibly empty
-	Secret         string       // the caller's key; empty if missing
-	Model          id.Model     // empty for plain services
-	PromptParts    []place.Part // parts of the prompt; the last one is specific to the request or its session
+	HasBody        bool                     // the caller sent a body, possibly empty
+	Secret         string                   // the caller's key; empty if missing
+	Model          id.Model                 // empty for plain services
+	PromptParts    []place.Part             // parts of the prompt; the last one is specific to the request or its session
 	SharedParts    []quarantine.Fingerprint // parts of the prompt that other requests may hold
 	PromptTokens   id.Tokens
 	OutputTokens   id.Tokens     // maximum number of tokens to generate
--- a/internal/services/forward/crash_test.go
+++ b/internal/services/forward/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -125,3 +127,33 @@
 	require.Equal(t, http.StatusBadGateway, r.Status)
 	require.Equal(t, 2, s.up.written)
 }
+
+// Prompt parts of the tests.
+var (
+	firstPart    = quarantine.NewPartFingerprint("first")
+	soundPart    = quarantine.NewPartFingerprint("sound")
+	crashingPart = quarantine.NewPartFingerprint("crashing")
+)
+
+// Requests that share only a part of their prompt crash one upstream after the other.
+func TestCrashingPartIsRefused(t *testing.T) {
+	s := newCrashedFixture(t)
+	n := 0
+	request := func(parts ...quarantine.Fingerprint) *Call {
+		n++
+		c := newCall("/unsafe/")
+		c.Body, c.SharedParts = fmt.Append(nil, "request ", n), parts
+		return c
+	}
+	s.requireRefusedAfterCrashes(t, func() *Call {
+		s.up.steps = []sendResult{okResult("a")}
+		require.NoError(t, s.Serve(context.Background(), request(firstPart, soundPart), &fakeSink{}))
+		time.Sleep(2 * time.Millisecond) // crashes and completions are ordered by milliseconds
+		return request(firstPart, crashingPart)
+	})
+	s.up.steps = []sendResult{okResult("a")}
+	require.NoError(t, s.Serve(context.Background(), request(firstPart, soundPart), &fakeSink{}))
+	r := requireRefusal(t, s.Serve(context.Background(), request(crashingPart), &fakeSink{}))
+	require.Equal(t, call.Quarantined, r.Code)
+	require.Equal(t, call.RunNo, r.Run)
+}
