Test: script the send after the sound request in TestCrashingPartIsRefused

The step for the crashing request was replaced by the one for the sound request, so that the test ended at an unexpected send instead of at its condition.

--- a/internal/services/forward/crash_test.go
+++ b/internal/services/forward/crash_test.go
@@ -149,6 +149,7 @@
 		s.up.steps = []sendResult{okResult("a")}
 		require.NoError(t, s.Serve(context.Background(), request(firstPart, soundPart), &fakeSink{}))
 		time.Sleep(2 * time.Millisecond) // crashes and completions are ordered by milliseconds
+		s.up.steps = []sendResult{crashResult}
 		return request(firstPart, crashingPart)
 	})
 	s.up.steps = []sendResult{okResult("a")}
