Count crashes of upstreams by prompt part and refuse parts that crash them

Cause: a suspect was a whole request, its fingerprint a hash of customer, target and body. The reports held no part. Crashes themselves were all noticed within milliseconds, which rules out attribution.

Now a report holds the shared parts of each request's prompt, and the replicated table a record for each part, with the requests that ran at each crash. A part is refused after three crashes one after the other under two requests or more, fewer if they come faster than upstreams end. A completed run that was sent after a crash clears the part of it, so frequent parts are not blamed. The part with the most crashes explains all of them (greedy set cover): parts and requests that ran beside it are not blamed for these crashes. It is refused for one to two minutes at first, four times as long after each further crash.

The OpenAI face has no parts yet.

--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -63,6 +63,7 @@
 	members      rcu.Value[map[id.VM]Member]
 	latestOrders rcu.Value[map[id.Upstream]order.Order]
 	suspects     rcu.Value[suspect.Table]
+	culprits     rcu.Value[suspect.Culprits]
 }
 
 // New returns an empty machine.
@@ -131,6 +132,9 @@
 // Suspects returns the published requests that ran on upstreams that crashed. It takes no lock.
 func (m *Machine) Suspects() suspect.Table { return m.suspects.Load() }
 
+// Culprits returns the parts of prompts that crash upstreams, by the published suspects. It takes no lock.
+func (m *Machine) Culprits() suspect.Culprits { return m.culprits.Load() }
+
 // Orders returns the last order to each upstream.
 func (m *Machine) Orders() []order.Order {
 	m.mu.Lock()
@@ -156,13 +160,14 @@
 	return m.t.Counts[src]
 }
 
-// Publish makes the applied changes visible to Config, Members, LatestOrders and Suspects.
+// Publish makes the applied changes visible to Config, Members, LatestOrders, Suspects and Culprits.
 func (m *Machine) Publish() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.newSuspects {
 		m.newSuspects = false
 		m.suspects.Store(maps.Clone(m.t.Suspects))
+		m.culprits.Store(m.t.Suspects.Culprits())
 	}
 	if !m.unpublished {
 		return
--- a/internal/models/suspect/suspect.go
+++ b/internal/models/suspect/suspect.go
@@ -1,4 +1,5 @@
-// Package suspect records which requests ran on upstreams that crashed, and decides which of them to refuse.
+// Package suspect records which requests, and which parts of their prompts, ran on upstreams that crashed, and decides which of
+// them to refuse.
 package suspect
 
 import (
@@ -11,15 +12,15 @@
 )
 
 const (
-	maxCrashes      = 8                // crashes kept per request; later ones replace the oldest
-	maxRecords      = 10000            // requests kept in a table
+	maxCrashes      = 16               // crashes kept per request or part; later ones replace the oldest
+	maxRecords      = 10000            // requests and parts kept in a table
 	singleRetention = 10 * time.Minute // how long one crash is remembered
 	repeatRetention = 24 * time.Hour   // how long several crashes are remembered; the longest quarantine that can be set
 	minRounds       = 2                // crashes one after the other from which a request is refused
 	minCrashes      = 3                // crashes from which a request is refused, although they may have the same time
 )
 
-// Fingerprint is a hash that is equal for repeats of one request.
+// Fingerprint is a hash that is equal for repeats of one request, or for one part of prompts.
 type Fingerprint uint64
 
 // String returns p in hexadecimal, as in log lines.
@@ -39,8 +40,9 @@
 
 // Run is a request that ran on an upstream.
 type Run struct {
-	Request Fingerprint `json:"request"`
-	Began   Millis      `json:"began"` // when it was last sent there
+	Request Fingerprint   `json:"request"`
+	Parts   []Fingerprint `json:"parts,omitempty"` // parts of its prompt that other requests may hold, in their order
+	Began   Millis        `json:"began"`           // when it was last sent there
 }
 
 // Report tells that one incarnation of an upstream crashed while it ran some requests or, if Completed is set, that it
@@ -59,16 +61,19 @@
 	Incarnation uint64      `json:"incarnation"`
 	Began       Millis      `json:"began"`
 	At          Millis      `json:"at"`
+	Request     Fingerprint `json:"request,omitempty"`  // in the record of a part: a request with this part; zero in the record of a request
+	Position    int         `json:"position,omitempty"` // of the part in the prompt
 }
 
 func (c Crash) same(o Crash) bool { return c.Upstream == o.Upstream && c.Incarnation == o.Incarnation }
 
-// Record holds the crashes of one request, oldest first. It is immutable.
+// Record holds the crashes of one request, or of all requests with one part, oldest first. It is immutable.
 type Record []Crash
 
 // compare orders crashes by time.
 func (c Crash) compare(o Crash) int {
-	return cmp.Or(cmp.Compare(c.At, o.At), cmp.Compare(c.Began, o.Began), cmp.Compare(c.Upstream, o.Upstream), cmp.Compare(c.Incarnation, o.Incarnation))
+	return cmp.Or(cmp.Compare(c.At, o.At), cmp.Compare(c.Began, o.Began), cmp.Compare(c.Upstream, o.Upstream), cmp.Compare(c.Incarnation, o.Incarnation),
+		cmp.Compare(c.Request, o.Request), cmp.Compare(c.Position, o.Position))
 }
 
 // With returns the record with c added. The crash of one incarnation of an upstream counts once, at the time of the earliest
@@ -144,24 +149,50 @@
 func (t Table) Apply(r Report) bool {
 	changed := t.prune(r.At)
 	for _, run := range r.Runs {
-		old := t[run.Request]
-		next := old.After(r.At)
-		if !r.Completed {
-			next = old.With(Crash{Upstream: r.Upstream, Incarnation: r.Incarnation, Began: run.Began, At: r.At})
+		if r.Completed {
+			changed = t.clear(run, r.At) || changed
+		} else {
+			changed = t.add(run, r) || changed
 		}
-		if slices.Equal(next, old) {
-			continue
-		}
-		changed = true
-		if len(next) == 0 {
-			delete(t, run.Request)
-			continue
-		}
-		t[run.Request] = next
 	}
 	return changed
 }
 
+// add adds the crash of r to the records of a run.
+func (t Table) add(run Run, r Report) bool {
+	c := Crash{Upstream: r.Upstream, Incarnation: r.Incarnation, Began: run.Began, At: r.At}
+	changed := t.set(run.Request, t[run.Request].With(c))
+	c.Request = run.Request
+	for i, part := range run.Parts {
+		c.Position = i
+		changed = t.set(part, t[part].With(c)) || changed
+	}
+	return changed
+}
+
+// clear removes the crashes that a run which completed at the given time shows to have another cause. A request is cleared up to
+// its completion, a part only up to the send, since it may be new that the part crashes upstreams.
+func (t Table) clear(run Run, at Millis) bool {
+	changed := t.set(run.Request, t[run.Request].After(at))
+	for _, part := range run.Parts {
+		changed = t.set(part, t[part].After(run.Began)) || changed
+	}
+	return changed
+}
+
+// set replaces a record and reports whether it changed.
+func (t Table) set(p Fingerprint, next Record) bool {
+	if slices.Equal(next, t[p]) {
+		return false
+	}
+	if len(next) == 0 {
+		delete(t, p)
+	} else {
+		t[p] = next
+	}
+	return true
+}
+
 // prune removes expired records and, from maxRecords on, the oldest ones with a single crash. It reports whether t changed.
 func (t Table) prune(now Millis) bool {
 	before := len(t)
--- a/internal/models/suspect/suspect_test.go
+++ b/internal/models/suspect/suspect_test.go
@@ -33,7 +33,7 @@
 		"three upstreams that end together":   {[]Crash{crash("a", 0, 10), crash("b", 2, 12), crash("c", 2, 13)}, time.Minute},
 		"three, one after the other":          {[]Crash{crash("a", 0, 10), crash("b", 20, 30), crash("c", 40, 50)}, time.Hour},
 		"two copies at once, and one later":   {[]Crash{crash("a", 0, 10), crash("b", 0, 12), crash("c", 40, 50)}, time.Hour},
-		"the same upstream after its restart": {[]Crash{crash("a", 0, 10), {"a", 2, 50, 60}}, time.Minute},
+		"the same upstream after its restart": {[]Crash{crash("a", 0, 10), {Upstream: "a", Incarnation: 2, Began: 50, At: 60}}, time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var r Record
--- a/internal/services/call/call.go
+++ b/internal/services/call/call.go
@@ -8,6 +8,7 @@
 
 	"wagtaillift/internal/models/service"
 	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/id"
 )
 
@@ -126,11 +127,12 @@
 	Body           []byte // complete body; nil if it is streamed
 	Model          ModelBody
 	Stream         bool
-	PromptTokens   id.Tokens // estimated prompt length
-	OutputTokens   id.Tokens // maximum number of generated tokens
-	Prefix         []uint64  // hashes of the prompt's leading blocks, see PrefixHashes
-	IdempotencyKey string    // value of the Idempotency-Key header
-	Idempotent     bool      // the call may be run more than once
+	PromptTokens   id.Tokens             // estimated prompt length
+	OutputTokens   id.Tokens             // maximum number of generated tokens
+	Prefix         []uint64              // hashes of the prompt's leading blocks, see PrefixHashes
+	SharedParts    []suspect.Fingerprint // parts of the prompt that other calls may hold
+	IdempotencyKey string                // value of the Idempotency-Key header
+	Idempotent     bool                  // the call may be run more than once
 	Deadline       time.Time
 
 	Wait           time.Duration // maximum wait for the customer's rate limit; zero leaves the limit to the policy
--- a/internal/services/dispatch/crashed.go
+++ b/internal/services/dispatch/crashed.go
@@ -54,14 +54,25 @@
 // checkQuarantine returns the refusal of a request that crashed the upstreams that ran it. It is called at the start of a
 // call and again right before each send, because the call may have waited in between.
 func (d *Dispatcher) checkQuarantine(c *call.Call, p quarantine.Fingerprint) error {
-	duration := d.hold(c)
-	wait, refused := d.Quarantine.Refused(clock.SinceBoot(), p, suspect.Hold{Short: duration, Long: duration})
+	wait, refused := d.quarantined(c, p)
 	if !refused {
 		return nil
 	}
 	return call.Refuse(http.StatusUnprocessableEntity, call.Quarantined, step, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 }
 
+// quarantined returns for how much longer c is refused because it, or calls with a part of its prompt, crashed the upstreams that ran
+// them.
+func (d *Dispatcher) quarantined(c *call.Call, p quarantine.Fingerprint) (time.Duration, bool) {
+	duration := d.hold(c)
+	return d.Quarantine.Refused(clock.SinceBoot(), newSuspect(c, p), suspect.Hold{Short: duration, Long: duration})
+}
+
+// newSuspect returns what identifies c among requests that crash upstreams.
+func newSuspect(c *call.Call, p quarantine.Fingerprint) quarantine.Request {
+	return quarantine.Request{Print: p, Parts: c.SharedParts}
+}
+
 // hold returns how long c is refused if it crashed its upstreams. Since suspects run isolated, the second crash of one is not
 // a coincidence.
 func (d *Dispatcher) hold(c *call.Call) time.Duration {
@@ -69,8 +80,8 @@
 }
 
 // recordEnd records an attempt without a complete answer, in case u turns out to have crashed.
-func (d *Dispatcher) recordEnd(u *roster.Upstream, pr *progress, p quarantine.Fingerprint) {
+func (d *Dispatcher) recordEnd(c *call.Call, u *roster.Upstream, pr *progress, p quarantine.Fingerprint) {
 	if pr.now {
-		d.Detector.Ended(clock.SinceBoot(), u, p, pr.sentAt)
+		d.Detector.Ended(clock.SinceBoot(), u, quarantine.Run{Request: newSuspect(c, p), SentAt: pr.sentAt})
 	}
 }
--- a/internal/services/dispatch/crashed_test.go
+++ b/internal/services/dispatch/crashed_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
@@ -64,7 +63,7 @@
 // recordCrash records that p crashed the upstream with this name.
 func (b *testFleet) recordCrash(name id.Upstream, p quarantine.Fingerprint) {
 	now := clock.SinceBoot()
-	b.d.Quarantine.RecordCrash(now, name, 1, map[quarantine.Fingerprint]time.Duration{p: now})
+	b.d.Quarantine.RecordCrash(now, name, 1, []quarantine.Run{{Request: quarantine.Request{Print: p}, SentAt: now}})
 }
 
 // Guards against sending a call that became refused while it waited for its upstream.
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/policy"
-	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
@@ -129,10 +128,10 @@
 	recordAttempt(c, ch, err)
 	if err == nil {
 		u.Stats.RecordSuccess()
-		d.Detector.Completed(clock.SinceBoot(), u, p)
+		d.Detector.Completed(clock.SinceBoot(), u, quarantine.Run{Request: newSuspect(c, p), SentAt: pr.sentAt})
 		return nil
 	}
-	d.recordEnd(u, pr, p)
+	d.recordEnd(c, u, pr, p)
 	var writeErr callerError
 	if ctx.Err() != nil || errors.As(err, &writeErr) {
 		return err
@@ -151,7 +150,7 @@
 	d.Roster.MarkCrashed(now, u.Name, u.Incarnation)
 	duration := d.hold(c)
 	d.Detector.Confirm(u.Name, u.Incarnation)
-	if _, refused := d.Quarantine.Refused(now, p, suspect.Hold{Short: duration, Long: duration}); !refused {
+	if _, refused := d.quarantined(c, p); !refused {
 		return err
 	}
 	return &call.Refusal{
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -107,11 +107,11 @@
 	if err == nil {
 		u.Stats.RecordSuccess()
 		if a.Status/100 == 2 {
-			d.Detector.Completed(clock.SinceBoot(), u, p)
+			d.Detector.Completed(clock.SinceBoot(), u, quarantine.Run{Request: newSuspect(c, p), SentAt: pr.sentAt})
 		}
 		return a, false, nil
 	}
-	d.recordEnd(u, pr, p)
+	d.recordEnd(c, u, pr, p)
 	if ctx.Err() == nil {
 		u.Stats.RecordFailure(clock.SinceBoot())
 		err = d.checkCrash(c, u, pr, p, err)
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -230,17 +230,22 @@
 	}
 	if err == nil || errors.Is(err, ErrCallerGone) || errors.Is(err, errFailureKept) {
 		sel.u.Stats.RecordOutcome(false)
-		if err == nil && !a.Framed {
-			klog.InfoS("Answer ended with its connection", "request", c.ID, "upstream", sel.u.Name, "events", c.events, "parts", quarantine.JoinPrints(c.SharedParts))
-		}
 		if err == nil && a.Status/100 == 2 {
-			f.Detector.Completed(clock.SinceBoot(), sel.u, c.print())
+			f.recordAnswer(c, sel, a)
 		}
 		return err
 	}
 	return f.attemptFailed(ctx, c, sel, p, true, err)
 }
 
+// recordAnswer records that sel completed c.
+func (f *Forwarder) recordAnswer(c *Call, sel *selection, a *Answer) {
+	if !a.Framed {
+		klog.InfoS("Answer ended with its connection", "request", c.ID, "upstream", sel.u.Name, "events", c.events, "parts", quarantine.JoinPrints(c.SharedParts))
+	}
+	f.Detector.Completed(clock.SinceBoot(), sel.u, c.runAt(sel))
+}
+
 // drain reads the rest of a small body so that its connection can be reused, and closes the connection if the body is long
 // or slow.
 func drain(a *Answer) {
@@ -274,7 +279,7 @@
 	c.sent = c.sent || sent
 	if sent {
 		p.possibleRuns++
-		f.Detector.Ended(clock.SinceBoot(), sel.u, c.print(), sel.sentAt)
+		f.Detector.Ended(clock.SinceBoot(), sel.u, c.runAt(sel))
 	}
 	// Neither the caller nor the deadline ended the attempt.
 	stillWanted := ctx.Err() == nil || errors.Is(err, errSilent)
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -120,7 +120,7 @@
 		c.deadline = c.Start.Add(c.CallerTimeout)
 	}
 	if wait, refused := f.quarantined(c); refused {
-		logQuarantined(c, len(f.Quarantine.Crashes(c.print())), wait)
+		f.logQuarantined(c, wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 	}
 	if !first || c.customer.ID == "" {
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -369,8 +369,9 @@
 	c.Body = []byte("crashing")
 	p := quarantine.NewFingerprint("c", id.Service(c.Target), c.Body)
 	now := clock.SinceBoot()
-	s.Quarantine.RecordCrash(now-time.Second, "a1", 1, map[quarantine.Fingerprint]time.Duration{p: now - 2*time.Second})
-	s.Quarantine.RecordCrash(now, "a2", 1, map[quarantine.Fingerprint]time.Duration{p: now - time.Second/2})
+	q := quarantine.Request{Print: p}
+	s.Quarantine.RecordCrash(now-time.Second, "a1", 1, []quarantine.Run{{Request: q, SentAt: now - 2*time.Second}})
+	s.Quarantine.RecordCrash(now, "a2", 1, []quarantine.Run{{Request: q, SentAt: now - time.Second/2}})
 }
 
 // change adds an order for every engine to become prefill-only.
--- a/internal/services/quarantine/detector.go
+++ b/internal/services/quarantine/detector.go
@@ -34,9 +34,14 @@
 
 // watched holds the requests that ended without a complete answer at one incarnation of an upstream.
 type watched struct {
-	u     *roster.Upstream
-	runs  map[Fingerprint]time.Duration // when each was sent there
-	until time.Duration                 // clock.SinceBoot up to which a crash is attributed to them
+	u    *roster.Upstream
+	runs map[Fingerprint]watchedRun
+}
+
+// watchedRun is one of these requests.
+type watchedRun struct {
+	Run
+	until time.Duration // clock.SinceBoot up to which a crash is attributed to it
 }
 
 // Detector finds upstreams that crashed while they ran requests, and records these requests as suspects. A request that ended
@@ -51,8 +56,12 @@
 	probes  map[incarnation]chan struct{} // closed at the end of the probe in progress
 }
 
-// Ended records that p, which was sent to u at sentAt, ended at now without a complete answer.
-func (d *Detector) Ended(now time.Duration, u *roster.Upstream, p Fingerprint, sentAt time.Duration) {
+// Ended records that run ended at u without a complete answer.
+func (d *Detector) Ended(now time.Duration, u *roster.Upstream, run Run) {
+	d.watch(u, watchedRun{Run: run, until: now + watchTime})
+}
+
+func (d *Detector) watch(u *roster.Upstream, run watchedRun) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.watched == nil {
@@ -60,22 +69,24 @@
 	}
 	w, ok := d.watched[incarnationOf(u)]
 	if !ok {
-		w = &watched{u: u, runs: map[Fingerprint]time.Duration{}}
+		w = &watched{u: u, runs: map[Fingerprint]watchedRun{}}
 		d.watched[incarnationOf(u)] = w
 	}
-	if len(w.runs) < maxWatchedRuns {
-		w.runs[p] = max(w.runs[p], sentAt)
+	old, known := w.runs[run.Print]
+	if !known && len(w.runs) >= maxWatchedRuns {
+		return
 	}
-	w.until = now + watchTime
+	run.SentAt = max(run.SentAt, old.SentAt)
+	w.runs[run.Print] = run
 }
 
-// Completed records that u ran p to its end.
-func (d *Detector) Completed(now time.Duration, u *roster.Upstream, p Fingerprint) {
-	r, cleared := d.List.RecordCompletion(now, u.Name, u.Incarnation, p)
+// Completed records that u completed run.
+func (d *Detector) Completed(now time.Duration, u *roster.Upstream, run Run) {
+	r, cleared := d.List.RecordCompletion(now, u.Name, u.Incarnation, run)
 	if !cleared {
 		return
 	}
-	klog.InfoS("Suspect completed", "upstream", u.Name, "incarnation", u.Incarnation, "fingerprint", p)
+	klog.InfoS("Suspect completed", "upstream", u.Name, "incarnation", u.Incarnation, "fingerprint", run.Print, "parts", JoinPrints(r.Runs[0].Parts))
 	d.share(r)
 }
 
@@ -152,9 +163,13 @@
 	if !ok {
 		return
 	}
-	r := d.List.RecordCrash(clock.SinceBoot(), k.name, k.number, w.runs)
+	var runs []Run
+	for _, run := range w.runs {
+		runs = append(runs, run.Run)
+	}
+	r := d.List.RecordCrash(clock.SinceBoot(), k.name, k.number, runs)
 	klog.InfoS("Upstream crashed", "upstream", k.name, "incarnation", k.number, "address", w.u.Address, "reason", reason,
-		"requests", len(r.Runs), "crashes", d.List.Describe(r))
+		"requests", len(r.Runs), "crashes", d.List.Describe(r), "parts", d.List.DescribeParts(r))
 	d.share(r)
 }
 
@@ -190,11 +205,16 @@
 // CheckInterval is the time between two calls of Check.
 const CheckInterval = 500 * time.Millisecond
 
-// expire forgets the requests whose time to be watched has passed and returns the others.
+// expire forgets the requests whose time to be watched has passed and returns the incarnations that are watched further.
 func (d *Detector) expire(now time.Duration) []*watched {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	maps.DeleteFunc(d.watched, func(_ incarnation, w *watched) bool { return now >= w.until })
+	for k, w := range d.watched {
+		maps.DeleteFunc(w.runs, func(_ Fingerprint, run watchedRun) bool { return now >= run.until })
+		if len(w.runs) == 0 {
+			delete(d.watched, k)
+		}
+	}
 	return slices.Collect(maps.Values(d.watched))
 }
 
--- a/internal/services/quarantine/detector_test.go
+++ b/internal/services/quarantine/detector_test.go
@@ -53,7 +53,10 @@
 }
 
 // end records that print ended at u because its caller left or its time was over.
-func (d *detectorFixture) end() { d.Ended(clock.SinceBoot(), d.u, print, clock.SinceBoot()) }
+func (d *detectorFixture) end() { d.Ended(clock.SinceBoot(), d.u, newRun()) }
+
+// newRun returns a run of print that was sent now.
+func newRun() Run { return Run{Request: Request{Print: print}, SentAt: clock.SinceBoot()} }
 
 // requireSuspect waits until print is a suspect.
 func (d *detectorFixture) requireSuspect(t *testing.T) {
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 // Package quarantine detects requests that crash the engines they run on, and refuses them.
 //
-// When an engine crashes, every request that ran on it becomes a suspect. A run that completes clears the request. Every VM
+// When an engine crashes, every request that ran on it becomes a suspect, and so does every part of its prompt that other requests
+// may hold. A run that completes clears the request and its parts. Every VM
 // learns of crashes by messages of the VMs that noticed them and, in case these are lost or the VM starts later, from the
 // replicated log.
 package quarantine
@@ -15,11 +16,18 @@
 	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/rcu"
 )
 
-// Fingerprint is a hash of a request's customer, service and body.
+// Fingerprint is a hash of a request's customer, service and body, or of a part of its prompt.
 type Fingerprint = suspect.Fingerprint
 
+// Request identifies a request and what it shares with others.
+type Request struct {
+	Print Fingerprint
+	Parts []Fingerprint // parts of its prompt that other requests may hold, in their order
+}
+
 const reservationTTL = 2 * time.Minute // lifetime of a reservation that is not released
 
 // NewFingerprint returns the fingerprint of a request. For a plain call, s or body also includes the path.
@@ -49,10 +57,13 @@
 	FleetTime func(now time.Duration) time.Time
 	// Committed returns the suspects in the replicated log; nil if there is none.
 	Committed func() suspect.Table
+	// CommittedCulprits returns the culprits among them; nil if there is none.
+	CommittedCulprits func() suspect.Culprits
 
+	culprits     rcu.Value[suspect.Culprits] // among the reported suspects
 	mu           sync.Mutex
 	reported     suspect.Table                  // by this VM and in messages from others
-	cleared      map[Fingerprint]suspect.Millis // when a suspect last ran to completion
+	cleared      map[Fingerprint]suspect.Millis // up to when crashes under a suspect had another cause
 	reservations map[id.Upstream]reservation    // by engine
 }
 
@@ -70,24 +81,34 @@
 	return suspect.MillisOf(l.FleetTime(now))
 }
 
-// RecordCrash records that one incarnation of u crashed, and returns the report for the other VMs. Runs holds the time at
-// which each request was sent to it.
-func (l *List) RecordCrash(now time.Duration, u id.Upstream, incarnation uint64, runs map[Fingerprint]time.Duration) suspect.Report {
+// Run is a request that was sent to an upstream.
+type Run struct {
+	Request
+	SentAt time.Duration // clock.SinceBoot
+}
+
+// RecordCrash records that one incarnation of u crashed under the given runs, and returns the report for the other VMs.
+func (l *List) RecordCrash(now time.Duration, u id.Upstream, incarnation uint64, runs []Run) suspect.Report {
 	r := suspect.Report{Upstream: u, Incarnation: incarnation, At: l.millis(now)}
-	for p, began := range runs {
-		r.Runs = append(r.Runs, suspect.Run{Request: p, Began: l.millis(began)})
+	for _, run := range runs {
+		r.Runs = append(r.Runs, suspect.Run{Request: run.Print, Parts: run.Parts, Began: l.millis(run.SentAt)})
 	}
 	l.Apply(r)
 	return r
 }
 
-// RecordCompletion records that u ran p to its end. If p was a suspect, it returns the report for the other VMs.
-func (l *List) RecordCompletion(now time.Duration, u id.Upstream, incarnation uint64, p Fingerprint) (r suspect.Report, cleared bool) {
-	if len(l.Crashes(p)) == 0 {
+// RecordCompletion records that u completed run. If that clears a suspect, it returns the report for the other VMs.
+func (l *List) RecordCompletion(now time.Duration, u id.Upstream, incarnation uint64, run Run) (r suspect.Report, cleared bool) {
+	done := suspect.Run{Request: run.Print, Began: l.millis(run.SentAt)}
+	for _, part := range run.Parts {
+		if c := l.Crashes(part); len(c) > 0 && c[0].At <= done.Began {
+			done.Parts = append(done.Parts, part)
+		}
+	}
+	if len(done.Parts) == 0 && len(l.Crashes(run.Print)) == 0 {
 		return r, false
 	}
-	at := l.millis(now)
-	r = suspect.Report{Upstream: u, Incarnation: incarnation, At: at, Runs: []suspect.Run{{Request: p, Began: at}}, Completed: true}
+	r = suspect.Report{Upstream: u, Incarnation: incarnation, At: l.millis(now), Runs: []suspect.Run{done}, Completed: true}
 	l.Apply(r)
 	return r, true
 }
@@ -99,12 +120,17 @@
 	if l.reported == nil {
 		l.reported, l.cleared = suspect.Table{}, map[Fingerprint]suspect.Millis{}
 	}
-	l.reported.Apply(r)
+	if l.reported.Apply(r) {
+		l.culprits.Store(l.reported.Culprits())
+	}
 	if !r.Completed {
 		return
 	}
 	for _, run := range r.Runs {
 		l.cleared[run.Request] = max(l.cleared[run.Request], r.At)
+		for _, part := range run.Parts {
+			l.cleared[part] = max(l.cleared[part], run.Began)
+		}
 	}
 	l.pruneCleared()
 }
@@ -126,7 +152,14 @@
 	return l.Committed()
 }
 
-// Crashes returns the crashes of p since it last ran to completion.
+func (l *List) committedCulprits() suspect.Culprits {
+	if l.CommittedCulprits == nil {
+		return suspect.Culprits{}
+	}
+	return l.CommittedCulprits()
+}
+
+// Crashes returns the crashes of p that no completed run shows to have another cause.
 func (l *List) Crashes(p Fingerprint) suspect.Record {
 	committed := l.committed()[p]
 	l.mu.Lock()
@@ -151,6 +184,22 @@
 	return list
 }
 
+// DescribeParts returns the parts of a report's requests with the number of crashes of each, for a log line.
+func (l *List) DescribeParts(r suspect.Report) []string {
+	const maxParts = 32
+	seen := map[Fingerprint]bool{}
+	var list []string
+	for _, run := range r.Runs {
+		for _, part := range run.Parts {
+			if !seen[part] && len(list) < maxParts {
+				seen[part] = true
+				list = append(list, fmt.Sprintf("%s:%d", part, len(l.Crashes(part))))
+			}
+		}
+	}
+	return list
+}
+
 // Len returns the number of suspects that this VM knows.
 func (l *List) Len() int {
 	committed := l.committed()
@@ -165,17 +214,64 @@
 	return n
 }
 
-// Refused returns how much longer p is refused, and whether it is refused at all.
-func (l *List) Refused(now time.Duration, p Fingerprint, h suspect.Hold) (time.Duration, bool) {
+// Refused returns how much longer q is refused, because of a part of its prompt or by itself, and whether it is refused at all.
+func (l *List) Refused(now time.Duration, q Request, h suspect.Hold) (left time.Duration, refused bool) {
+	at := l.millis(now)
+	for _, part := range q.Parts {
+		if until, ok := l.partRefusedUntil(part, h.Long); ok {
+			left = max(left, until.Sub(at))
+		}
+	}
 	if h.Short < h.Long {
-		h.Short = l.stagger(h.Short, p)
+		h.Short = l.stagger(h.Short, q.Print)
+	}
+	if until, ok := l.unexplained(q.Print).RefusedUntil(h); ok {
+		left = max(left, until.Sub(at))
+	}
+	return left, left > 0
+}
+
+// unexplained returns the crashes of p without those of which a part of another request's prompt is the cause.
+func (l *List) unexplained(p Fingerprint) suspect.Record {
+	return l.committedCulprits().Unexplained(l.culprits.Load().Unexplained(l.Crashes(p)))
+}
+
+// partRefusedUntil returns the time until which requests with a part are refused, and whether they are. The part is a culprit by the
+// messages from other VMs, or by the log, unless a run with it has completed since.
+func (l *List) partRefusedUntil(part Fingerprint, longest time.Duration) (until suspect.Millis, ok bool) {
+	r := l.culprits.Load().Part(part)
+	if c := l.committedCulprits().Part(part); len(c) > len(r) {
+		r = c
+	}
+	if len(r) == 0 {
+		return 0, false
 	}
-	until, ok := l.Crashes(p).RefusedUntil(h)
-	left := until.Sub(l.millis(now))
-	if !ok || left <= 0 {
+	r = r.After(l.clearedUpTo(part))
+	hold := r.PartHold(longest)
+	if hold <= 0 {
 		return 0, false
 	}
-	return left, true
+	if hold < longest {
+		hold = l.stagger(hold, part)
+	}
+	return r.Last().Add(hold), true
+}
+
+// clearedUpTo returns the time up to which crashes under p had another cause.
+func (l *List) clearedUpTo(p Fingerprint) suspect.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cleared[p]
+}
+
+// RefusedPart returns the first part of q for which it is refused, and the crashes under it.
+func (l *List) RefusedPart(now time.Duration, q Request, h suspect.Hold) (Fingerprint, int) {
+	for _, part := range q.Parts {
+		if until, ok := l.partRefusedUntil(part, h.Long); ok && until > l.millis(now) {
+			return part, len(l.Crashes(part))
+		}
+	}
+	return 0, 0
 }
 
 // stagger lengthens a hold by up to its own length, differently on each VM. When the holds of a request that was sent to many
--- a/internal/services/quarantine/quarantine_test.go
+++ b/internal/services/quarantine/quarantine_test.go
@@ -20,12 +20,12 @@
 
 // crash records that print crashed incarnation 1 of u at now, a second after it was sent there.
 func (l *List) crash(now time.Duration, u string) suspect.Report {
-	return l.RecordCrash(now, id.Upstream(u), 1, map[Fingerprint]time.Duration{print: now - time.Second})
+	return l.RecordCrash(now, id.Upstream(u), 1, []Run{{Request: Request{Print: print}, SentAt: now - time.Second}})
 }
 
 func (l *List) requireRefused(t *testing.T, now time.Duration, want bool) {
 	t.Helper()
-	_, refused := l.Refused(now, print, hold)
+	_, refused := l.Refused(now, Request{Print: print}, hold)
 	require.Equal(t, want, refused)
 }
 
@@ -59,9 +59,9 @@
 func TestCompletionClears(t *testing.T) {
 	var l List
 	l.crash(2*time.Second, "u1")
-	_, cleared := l.RecordCompletion(3*time.Second, "u2", 1, print)
+	_, cleared := l.RecordCompletion(3*time.Second, "u2", 1, Run{Request: Request{Print: print}, SentAt: 3 * time.Second})
 	require.True(t, cleared)
-	_, cleared = l.RecordCompletion(3*time.Second, "u2", 1, print)
+	_, cleared = l.RecordCompletion(3*time.Second, "u2", 1, Run{Request: Request{Print: print}, SentAt: 3 * time.Second})
 	require.False(t, cleared, "cleared twice")
 	l.crash(5*time.Second, "u2")
 	l.requireRefused(t, 5*time.Second, false)
@@ -76,13 +76,13 @@
 		l := List{VM: id.VM(fmt.Sprint("vm", i))}
 		l.crash(2*time.Second, "u1")
 		l.crash(4*time.Second, "u2")
-		wait, refused := l.Refused(4*time.Second, print, hold)
+		wait, refused := l.Refused(4*time.Second, Request{Print: print}, hold)
 		require.True(t, refused)
 		require.GreaterOrEqual(t, wait, hold.Short)
 		require.Less(t, wait, 2*hold.Short)
 		ends[wait.Truncate(time.Second)] = true
 		l.crash(80*time.Second, "u3")
-		wait, _ = l.Refused(80*time.Second, print, hold)
+		wait, _ = l.Refused(80*time.Second, Request{Print: print}, hold)
 		require.Equal(t, hold.Long, wait)
 	}
 	require.Greater(t, len(ends), vms/2, "different seconds")
