Do not take the end of an answer without a length for its completion

Cause: an answer with neither a length nor chunks ends with its connection. When the engine that writes it crashes between two events, the connection ends in the same way, the run counted as completed, and that cleared the request and the part that had just crashed the engine. The same on the OpenAI face for plain calls, where also the first 64 KB of a long answer counted as a completion.

Answers of this kind are passed on as before.

TestUnframedAnswerIsNoCompletion, on both faces, fails with the check taken out.

--- a/internal/services/dispatch/crashed_test.go
+++ b/internal/services/dispatch/crashed_test.go
@@ -86,3 +86,19 @@
 	total, _ := b.received("name=1")
 	require.Zero(t, total)
 }
+
+// A crash may look like the end of an answer without a length, so such an answer does not clear a suspect at once.
+func TestUnframedAnswerIsNoCompletion(t *testing.T) {
+	for f, cleared := range map[fault]bool{healthy: true, unframed: false} {
+		t.Run(string(f), func(t *testing.T) {
+			b := newTestFleet(t, []fault{f})
+			defer b.close()
+			own := quarantine.NewFingerprint("", "s", []byte(http.MethodPut+"/x\n"+retryBody))
+			b.recordCrash("app1", own)
+			a, err := b.d.RunPlain(context.Background(), b.newRetryableCall())
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, a.Status)
+			require.Equal(t, !cleared, b.d.Quarantine.IsSuspect(own))
+		})
+	}
+}
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -41,6 +41,7 @@
 	Body   []byte
 	Rest   io.ReadCloser
 	Length int64 // declared length in bytes, -1 if unknown
+	Whole  bool  // Body is the whole body, and its end was marked
 }
 
 // ToClaim returns the form that is stored for replaying; ok is false if the response was too large to buffer.
@@ -107,7 +108,7 @@
 	if err == nil {
 		u.Stats.RecordSuccess()
 		if a.Status/100 == 2 {
-			d.Detector.Completed(clock.SinceBoot(), u, quarantine.Run{Request: newSuspect(c, p), SentAt: pr.sentAt})
+			d.recordAnswer(c, u, pr, p, a)
 		}
 		return a, false, nil
 	}
@@ -120,6 +121,16 @@
 	return nil, replayable && (c.Idempotent || !sent), err
 }
 
+// recordAnswer records that u completed c. The end of an answer without a frame may also be a crash.
+func (d *Dispatcher) recordAnswer(c *call.Call, u *roster.Upstream, pr *progress, p quarantine.Fingerprint, a *Answer) {
+	run := quarantine.Run{Request: newSuspect(c, p), SentAt: pr.sentAt}
+	if a.Whole {
+		d.Detector.Completed(clock.SinceBoot(), u, run)
+		return
+	}
+	d.Detector.Answered(clock.SinceBoot(), u, run)
+}
+
 // roundTrip sends c to u and reads the start of the response. It also reports whether any byte was sent.
 func (d *Dispatcher) roundTrip(ctx context.Context, c *call.Call, u *roster.Upstream) (*Answer, bool, error) {
 	target := "http://" + u.Address + c.Path
@@ -167,6 +178,7 @@
 		return nil, errWrongRequest
 	}
 	a := &Answer{Status: resp.StatusCode, Header: http.Header{}, Length: resp.ContentLength}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	copyHeaders(a.Header, resp.Header, answerHeaders)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
 	if err != nil {
@@ -176,6 +188,7 @@
 	a.Body = data
 	if len(data) < maxBufferedAnswer {
 		resp.Body.Close()
+		a.Whole = framed
 		return a, nil
 	}
 	a.Rest = resp.Body
--- a/internal/services/dispatch/plain_test.go
+++ b/internal/services/dispatch/plain_test.go
@@ -46,6 +46,7 @@
 	silent         fault = "silent"           // reads the request and never responds
 	closesIdle     fault = "closes idle"      // responds, then closes the connection that the client keeps idle
 	shortAnswer    fault = "short answers"    // closes before the declared length
+	unframed       fault = "unframed"         // declares no length and closes after the response
 )
 
 var faults = []fault{
@@ -146,6 +147,10 @@
 		rid = "another"
 	}
 	body := "done " + rid
+	if x.fault == unframed {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", headerRequest, rid, body)
+		return false
+	}
 	length := len(body)
 	if x.fault == shortAnswer || x.fault == resetAnswer {
 		length += 10
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -238,12 +238,14 @@
 	return f.attemptFailed(ctx, c, sel, p, true, err)
 }
 
-// recordAnswer records that sel completed c.
+// recordAnswer records that sel completed c. The end of an answer without a frame may also be a crash.
 func (f *Forwarder) recordAnswer(c *Call, sel *selection, a *Answer) {
-	if !a.Framed {
-		klog.InfoS("Answer ended with its connection", "request", c.ID, "upstream", sel.u.Name, "events", c.events, "parts", quarantine.JoinPrints(c.SharedParts))
+	if a.Framed {
+		f.Detector.Completed(clock.SinceBoot(), sel.u, c.runAt(sel))
+		return
 	}
-	f.Detector.Completed(clock.SinceBoot(), sel.u, c.runAt(sel))
+	klog.InfoS("Answer ended with its connection", "request", c.ID, "upstream", sel.u.Name, "events", c.events, "parts", quarantine.JoinPrints(c.SharedParts))
+	f.Detector.Answered(clock.SinceBoot(), sel.u, c.runAt(sel))
 }
 
 // drain reads the rest of a small body so that its connection can be reused, and closes the connection if the body is long
--- a/internal/services/forward/crash_test.go
+++ b/internal/services/forward/crash_test.go
@@ -158,3 +158,19 @@
 	require.Equal(t, call.Quarantined, r.Code)
 	require.Equal(t, call.RunNo, r.Run)
 }
+
+// A crash may look like the end of an answer without a length, so such an answer does not clear a suspect at once.
+func TestUnframedAnswerIsNoCompletion(t *testing.T) {
+	for _, path := range []string{"/unsafe/", "/stream/"} {
+		for _, unframed := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, unframed), func(t *testing.T) {
+				s := newFixture(t, sendResult{status: 200, body: "id: 1\ndata: x\n\n", stream: path == "/stream/", unframed: unframed})
+				q := s.authenticated(path).suspect()
+				s.Quarantine.RecordCrash(clock.SinceBoot(), "gone", 1, []quarantine.Run{{Request: q}})
+				time.Sleep(2 * time.Millisecond) // crashes and completions are ordered by milliseconds
+				require.NoError(t, s.Serve(context.Background(), newCall(path), &fakeSink{}))
+				require.Equal(t, unframed, s.Quarantine.IsSuspect(q.Print))
+			})
+		}
+	}
+}
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -96,6 +96,7 @@
 	fail        bool   // no answer: the send returns an error
 	beforeWrite func() // called before Target.Allow
 	hangs       bool   // no answer until the context ends
+	unframed    bool   // the body ends with the connection
 }
 
 // fakeUpstreams returns the results in steps in order, regardless of the upstream.
@@ -131,7 +132,7 @@
 	if s.truncated {
 		body = io.MultiReader(body, brokenBody{})
 	}
-	a := &Answer{Status: s.status, Header: http.Header{"From": {string(t.Upstream)}}, NotRun: s.notRun, Stream: s.stream, Length: -1, Framed: true, Body: body}
+	a := &Answer{Status: s.status, Header: http.Header{"From": {string(t.Upstream)}}, NotRun: s.notRun, Stream: s.stream, Length: -1, Framed: !s.unframed, Body: body}
 	a.Release = func(bool) {}
 	return a, true, nil
 }
--- a/internal/services/quarantine/detector.go
+++ b/internal/services/quarantine/detector.go
@@ -32,7 +32,7 @@
 
 func incarnationOf(u *roster.Upstream) incarnation { return incarnation{u.Name, u.Incarnation} }
 
-// watched holds the requests that ended without a complete answer at one incarnation of an upstream.
+// watched holds the requests that ended at one incarnation of an upstream, without an answer that is known to be complete.
 type watched struct {
 	u    *roster.Upstream
 	runs map[Fingerprint]watchedRun
@@ -41,7 +41,8 @@
 // watchedRun is one of these requests.
 type watchedRun struct {
 	Run
-	until time.Duration // clock.SinceBoot up to which a crash is attributed to it
+	answered bool          // it has completed unless the upstream crashed
+	until    time.Duration // clock.SinceBoot up to which a crash is attributed to it
 }
 
 // Detector finds upstreams that crashed while they ran requests, and records these requests as suspects. A request that ended
@@ -61,6 +62,12 @@
 	d.watch(u, watchedRun{Run: run, until: now + watchTime})
 }
 
+// Answered records that the answer to run ended with its connection, and may be incomplete. Unless u turns out to have crashed, run has
+// completed.
+func (d *Detector) Answered(now time.Duration, u *roster.Upstream, run Run) {
+	d.watch(u, watchedRun{Run: run, answered: true, until: now + watchTime})
+}
+
 func (d *Detector) watch(u *roster.Upstream, run watchedRun) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -77,6 +84,7 @@
 		return
 	}
 	run.SentAt = max(run.SentAt, old.SentAt)
+	run.answered = run.answered && (!known || old.answered)
 	w.runs[run.Print] = run
 }
 
@@ -205,17 +213,30 @@
 // CheckInterval is the time between two calls of Check.
 const CheckInterval = 500 * time.Millisecond
 
-// expire forgets the requests whose time to be watched has passed and returns the incarnations that are watched further.
+// expire forgets the requests whose time to be watched has passed, records those that were answered as completed, and returns the
+// incarnations that are watched further.
 func (d *Detector) expire(now time.Duration) []*watched {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	completed := map[*roster.Upstream][]Run{}
 	for k, w := range d.watched {
-		maps.DeleteFunc(w.runs, func(_ Fingerprint, run watchedRun) bool { return now >= run.until })
+		maps.DeleteFunc(w.runs, func(_ Fingerprint, run watchedRun) bool {
+			if now >= run.until && run.answered {
+				completed[w.u] = append(completed[w.u], run.Run)
+			}
+			return now >= run.until
+		})
 		if len(w.runs) == 0 {
 			delete(d.watched, k)
 		}
 	}
-	return slices.Collect(maps.Values(d.watched))
+	list := slices.Collect(maps.Values(d.watched))
+	d.mu.Unlock()
+	for u, runs := range completed {
+		for _, run := range runs {
+			d.Completed(now, u, run)
+		}
+	}
+	return list
 }
 
 func (d *Detector) forget(k incarnation) {
--- a/internal/services/quarantine/part_test.go
+++ b/internal/services/quarantine/part_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/models/suspect"
+	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 )
 
@@ -99,3 +100,29 @@
 	}
 	require.Greater(t, len(ends), 4, "different seconds")
 }
+
+// An answer that ends with its connection may be a crash; if the upstream lives on, the run has completed.
+func TestAnswerWithoutFrame(t *testing.T) {
+	t.Run("the upstream has crashed", func(t *testing.T) {
+		d := newDetector(t, closedAddress(t))
+		d.Answered(clock.SinceBoot(), d.u, newRun())
+		d.Confirm("u", 1)
+		require.True(t, d.List.IsSuspect(print))
+	})
+	t.Run("the upstream lives on", func(t *testing.T) {
+		d := newDetector(t, listen(t).Addr().String())
+		d.List.crash(clock.SinceBoot(), "other")
+		d.Answered(clock.SinceBoot(), d.u, newRun())
+		require.True(t, d.List.IsSuspect(print))
+		d.Check(clock.SinceBoot() + watchTime)
+		require.False(t, d.List.IsSuspect(print))
+	})
+	t.Run("another attempt of it failed there", func(t *testing.T) {
+		d := newDetector(t, listen(t).Addr().String())
+		d.List.crash(clock.SinceBoot(), "other")
+		d.end()
+		d.Answered(clock.SinceBoot(), d.u, newRun())
+		d.Check(clock.SinceBoot() + watchTime)
+		require.True(t, d.List.IsSuspect(print))
+	})
+}
