Refuse chat calls whose messages crash engines

Twelve calls that share one message crashed 24 emulated engines.

Parts do not isolate a call on an engine of its own, since a frequent part would serialise all calls that hold it.

--- a/internal/services/call/body.go
+++ b/internal/services/call/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -112,6 +113,24 @@
 	return list
 }
 
+// maxSharedParts is the number of leading parts of a prompt that are checked for crashes of engines.
+const maxSharedParts = 64
+
+// SharedParts returns the parts of the prompt that other calls may hold: all messages but the last or, of a text, its leading blocks,
+// each with what precedes it.
+func (b *ModelBody) SharedParts() (list []string) {
+	if len(b.Messages) == 0 {
+		for _, h := range PrefixHashes(string(b.Prompt)) {
+			list = append(list, strconv.FormatUint(h, 16))
+		}
+	} else {
+		for _, m := range b.Messages[:len(b.Messages)-1] {
+			list = append(list, m.Role+":"+string(m.Content))
+		}
+	}
+	return list[:min(len(list), maxSharedParts)]
+}
+
 // Resume asks an engine to continue after text that was already delivered.
 type Resume struct {
 	Tokens id.Tokens `json:"tokens"`
--- a/internal/services/call/body_test.go
+++ b/internal/services/call/body_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -38,3 +40,28 @@
 	require.Equal(t, x[:4], y[:4])
 	require.NotEqual(t, x[4], y[4])
 }
+
+func TestSharedParts(t *testing.T) {
+	message := func(text string) Message { return Message{Role: "user", Content: []byte(text)} }
+	block := strings.Repeat("x", prefixBlockBytes)
+	for name, c := range map[string]struct {
+		a, b   ModelBody
+		shared int
+	}{
+		"all messages but the last":   {ModelBody{Messages: []Message{message("a"), message("b"), message("c")}}, ModelBody{Messages: []Message{message("a"), message("b"), message("d")}}, 2},
+		"after another message":       {ModelBody{Messages: []Message{message("a"), message("b"), message("c")}}, ModelBody{Messages: []Message{message("x"), message("b"), message("c")}}, 1},
+		"the last message is its own": {ModelBody{Messages: []Message{message("a")}}, ModelBody{Messages: []Message{message("a")}}, 0},
+		"leading blocks of a text":    {ModelBody{Prompt: []byte(block + block + "one")}, ModelBody{Prompt: []byte(block + block + "two")}, 2},
+		"another beginning":           {ModelBody{Prompt: []byte(block + block + "one")}, ModelBody{Prompt: []byte("x" + block + block)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			shared := 0
+			for _, part := range c.a.SharedParts() {
+				if slices.Contains(c.b.SharedParts(), part) {
+					shared++
+				}
+			}
+			require.Equal(t, c.shared, shared)
+		})
+	}
+}
--- a/internal/services/pipeline/pipeline.go
+++ b/internal/services/pipeline/pipeline.go
@@ -22,6 +22,7 @@
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/quarantine"
 )
 
 // Filter processes one aspect of a call. An error ends the processing of the call.
@@ -131,6 +132,9 @@
 	text := c.Model.Text()
 	c.PromptTokens = call.EstimateTokens(text)
 	c.Prefix = call.PrefixHashes(text)
+	for _, part := range c.Model.SharedParts() {
+		c.SharedParts = append(c.SharedParts, quarantine.NewPartFingerprint(part))
+	}
 	c.OutputTokens = c.Model.OutputLimit(id.Tokens(c.Config.Resolve(policy.OutputTokens, c.Customer, svc.ID).Value))
 	c.Stream = c.Model.Stream
 	return authorize(c)
