--- a/internal/services/call/body_test.go
+++ b/internal/services/call/body_test.go
@@ -52,7 +52,7 @@
 		"after another message":       {ModelBody{Messages: []Message{message("a"), message("b"), message("c")}}, ModelBody{Messages: []Message{message("x"), message("b"), message("c")}}, 1},
 		"the last message is its own": {ModelBody{Messages: []Message{message("a")}}, ModelBody{Messages: []Message{message("a")}}, 0},
 		"leading blocks of a text":    {ModelBody{Prompt: []byte(block + block + "one")}, ModelBody{Prompt: []byte(block + block + "two")}, 2},
-		"another beginning":           {ModelBody{Prompt: []byte(block + block + "one")}, ModelBody{Prompt: []byte("x" + block + block)}, 0},
+		"another beginning":           {ModelBody{Prompt: []byte(block + block + "one")}, ModelBody{Prompt: []byte("y" + block + block)}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			shared := 0
