Tests that fail: an upstream gets more requests than the limit that it names

The emulator's engines can now name a limit (Wagtaillift-Limit); the test also wants them to get more again once they take it back.

--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -50,13 +50,14 @@
 	return t
 }
 
-// Faults holds the probability of each fault per request, and the prompt text that crashes the engine.
+// Faults holds the probability of each fault per request, the prompt text that crashes the engine, and the limit that it names.
 type Faults struct {
 	Truncated float64 `json:"cut"`   // the stream is truncated: it ends without its end event
 	Late      float64 `json:"late"`  // the answer starts after lateDelay
 	WrongID   float64 `json:"cross"` // the answer carries the ID of another request
 	Reset     float64 `json:"reset"` // the connection is reset before the answer
 	Crash     string  `json:"crash"` // a prompt that contains this text crashes the engine; empty for none
+	Limit     float64 `json:"limit"` // requests a second that the engine names as its limit; 0 names none
 }
 
 // Options configures an Engine.
--- a/internal/services/emulate/http.go
+++ b/internal/services/emulate/http.go
@@ -22,6 +22,7 @@
 	headerRequest     = "Wagtaillift-Request"
 	headerIncarnation = "Wagtaillift-Incarnation"
 	headerLoad        = "Wagtaillift-Load"
+	headerLimit       = "Wagtaillift-Limit"
 	headerFence       = "Wagtaillift-Fence"
 	headerPriority    = "Wagtaillift-Priority"
 	maxBody           = 64 << 20
@@ -102,7 +103,7 @@
 	if len(e.requestCounts) > maxRequestCounts {
 		clear(e.requestCounts)
 	}
-	ctx := e.ctx
+	ctx, limit := e.ctx, e.faults.Limit
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
@@ -135,7 +136,7 @@
 	if d.wrongID {
 		answerID = "crossed-" + rid
 	}
-	e.stream(ctx, w, s, &q, stream{request: answerID, prompt: prompt, chat: chat, faultDraw: d})
+	e.stream(ctx, w, s, &q, stream{request: answerID, prompt: prompt, chat: chat, limit: limit, faultDraw: d})
 }
 
 // newSequence returns the sequence of a request, which starts after the tokens that a resumed request already has.
@@ -156,6 +157,7 @@
 type stream struct {
 	request, prompt string
 	chat            bool
+	limit           float64 // named in the answer; 0 for none
 	faultDraw       faultDraw
 }
 
@@ -169,6 +171,9 @@
 	reportedLoad, _ := json.Marshal(e.reportedLoad)
 	e.mu.Unlock()
 	h.Set(headerLoad, string(reportedLoad))
+	if st.limit > 0 {
+		h.Set(headerLimit, strconv.FormatFloat(st.limit, 'g', -1, 64))
+	}
 	w.WriteHeader(http.StatusOK)
 	f, _ := w.(http.Flusher)
 	f.Flush()
