Record and log the limits that upstreams name

No log line named a limit, so that the hypotheses looked the same: the field is not read, each VM keeps it for itself, or it is kept only where an upstream is chosen. Each VM now decodes it (Server-Limit on the platform's face, Wagtaillift-Limit on the other), logs each change with the time of the answer that said so, and counts the changes. An answer without the field ends a limit only if its request was sent after the limit was named. Nothing is decided by it yet.

--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -34,6 +34,7 @@
 	"wagtaillift/internal/services/dispatch"
 	"wagtaillift/internal/services/limit"
 	"wagtaillift/internal/services/order"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/pipeline"
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/requestlog"
@@ -68,6 +69,7 @@
 	burn           *burn.Meter
 	requestlog     *requestlog.Journal
 	quarantineList *quarantine.List
+	pace           *pace.Table
 	sharer         *quarantine.Sharer
 	detector       *quarantine.Detector
 	orders         *order.Service
@@ -85,7 +87,7 @@
 	}
 	v := &VM{
 		cfg: cfg, limiter: &limit.Limiter{}, burn: &burn.Meter{}, requestlog: &requestlog.Journal{},
-		quarantineList: &quarantine.List{},
+		quarantineList: &quarantine.List{}, pace: &pace.Table{},
 	}
 	if v.transport, err = peer.New(cfg.Listen.Peer, store); err != nil {
 		return nil, err
@@ -112,6 +114,7 @@
 	v.buildUsageMeter(inc)
 	v.buildQuarantine()
 	v.buildLimits()
+	v.pace.FleetTime = v.authority.FleetTime
 	if cfg.API == apiPlatform {
 		v.buildPlatform(inc)
 		return v, v.listen(v.platformEndpoints())
@@ -272,7 +275,7 @@
 func (v *VM) buildCaller(inc id.Incarnation) {
 	a := v.authority
 	d := &dispatch.Dispatcher{
-		Roster: v.roster, Client: upstream.New(), Quarantine: v.quarantineList, Detector: v.detector,
+		Roster: v.roster, Client: upstream.New(), Quarantine: v.quarantineList, Detector: v.detector, Pace: v.pace,
 		ReserveOnPeers: v.reserveUpstream,
 	}
 	if v.cfg.Route.Policy == "naive" {
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"wagtaillift/internal/modules/lazy"
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/retry"
 	"wagtaillift/internal/services/roster"
@@ -30,6 +31,7 @@
 	maxAttempts         = 5
 	headerRequest       = "Wagtaillift-Request"
 	headerLoad          = "Wagtaillift-Load"
+	headerRate          = "Wagtaillift-Limit"
 	queuePollInterval   = 2 * time.Millisecond  // interval at which queued requests retry the choice of an upstream
 	retryAfter          = time.Second           // minimum wait that is suggested to callers before a retry
 	maxBacklog          = 0.1                   // maximum load queued at an upstream, as a multiple of its capacity
@@ -44,6 +46,7 @@
 	Client     *upstream.Client
 	Quarantine *quarantine.List
 	Detector   *quarantine.Detector
+	Pace       *pace.Table
 	// ReserveOnPeers reserves an upstream for one suspect on the other VMs of the data centre, or releases it if reserve is false.
 	// It returns false if the upstream is reserved for another suspect. Nil skips the other VMs.
 	ReserveOnPeers func(u id.Upstream, p quarantine.Fingerprint, reserve bool) bool
@@ -149,6 +152,16 @@
 	}
 }
 
+// observeAnswer records the load and the rate that u named in the response to a request which was sent at sentAt. Only a success shows
+// that u names no rate any more.
+func (d *Dispatcher) observeAnswer(u *roster.Upstream, resp *http.Response, sentAt time.Duration) {
+	recordLoad(u, resp.Header)
+	rate := pace.ParseRate(resp.Header.Get(headerRate), u.Name)
+	if resp.StatusCode/100 == 2 || rate > 0 {
+		d.Pace.Observe(clock.SinceBoot(), u, rate, sentAt)
+	}
+}
+
 // dialFailed reports whether err is a failed connection attempt, timeouts excluded.
 func dialFailed(err error) bool {
 	var op *net.OpError
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -187,7 +187,7 @@
 		return errors.Annotatef(err, "send to upstream %s", u.Address)
 	}
 	defer resp.Body.Close()
-	recordLoad(u, resp.Header)
+	d.observeAnswer(u, resp, pr.sentAt)
 	if err := checkStream(resp, c.ID); err != nil {
 		return errors.Annotatef(err, "answer of upstream %s", u.Address)
 	}
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -102,7 +102,7 @@
 		return nil, false, err
 	}
 	tried[u.Name], pr.sentAt = true, clock.SinceBoot()
-	a, sent, err := d.roundTrip(ctx, c, u)
+	a, sent, err := d.roundTrip(ctx, c, u, pr)
 	pr.sent, pr.now = pr.sent || sent, sent
 	recordAttempt(c, ch, err)
 	if err == nil {
@@ -132,7 +132,7 @@
 }
 
 // roundTrip sends c to u and reads the start of the response. It also reports whether any byte was sent.
-func (d *Dispatcher) roundTrip(ctx context.Context, c *call.Call, u *roster.Upstream) (*Answer, bool, error) {
+func (d *Dispatcher) roundTrip(ctx context.Context, c *call.Call, u *roster.Upstream, pr *progress) (*Answer, bool, error) {
 	target := "http://" + u.Address + c.Path
 	if q := c.R.URL.RawQuery; q != "" {
 		target += "?" + q
@@ -156,7 +156,7 @@
 	if err != nil {
 		return nil, sent, errors.Annotatef(err, "send to upstream %s", u.Address)
 	}
-	recordLoad(u, resp.Header)
+	d.observeAnswer(u, resp, pr.sentAt)
 	a, err := readAnswer(resp, c.ID)
 	return a, true, errors.Annotatef(err, "answer of upstream %s", u.Address)
 }
--- a/internal/services/dispatch/plain_test.go
+++ b/internal/services/dispatch/plain_test.go
@@ -26,6 +26,7 @@
 	"wagtaillift/internal/modules/testseed"
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/roster"
 )
@@ -180,7 +181,7 @@
 		}))
 	}
 	suspects := &quarantine.List{}
-	b.d = &Dispatcher{Roster: r, Client: upstream.New(), Quarantine: suspects, Detector: &quarantine.Detector{Roster: r, List: suspects}}
+	b.d = &Dispatcher{Roster: r, Client: upstream.New(), Quarantine: suspects, Detector: &quarantine.Detector{Roster: r, List: suspects}, Pace: &pace.Table{}}
 	return b
 }
 
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -14,6 +14,7 @@
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/quarantine"
 )
 
@@ -164,8 +165,11 @@
 func (f *Forwarder) prefill(ctx context.Context, c *Call, sel *selection, p *progress, out Sink) error {
 	start := time.Now()
 	result, sent, err := f.UpstreamClient.Read(ctx, f.newTarget(c, sel), c)
-	if err == nil && result.NotRun {
-		err = errors.New("the prompt was refused")
+	if err == nil {
+		f.observeRate(sel, result.Rate, !result.NotRun)
+		if result.NotRun {
+			err = errors.New("the prompt was refused")
+		}
 	}
 	if err != nil {
 		p.skipPrefillOnly = true
@@ -214,6 +218,7 @@
 	if err != nil {
 		return f.attemptFailed(ctx, c, sel, p, sent, err)
 	}
+	f.observeRate(sel, a.Rate, a.Status/100 == 2)
 	if a.NotRun {
 		drain(a)
 		sel.u.Stats.RecordOutcome(false)
@@ -238,6 +243,13 @@
 	return f.attemptFailed(ctx, c, sel, p, true, err)
 }
 
+// observeRate records the rate that the upstream of sel named in its answer. Only a success shows that it names none any more.
+func (f *Forwarder) observeRate(sel *selection, rate pace.Rate, success bool) {
+	if success || rate > 0 {
+		f.Pace.Observe(clock.SinceBoot(), sel.u, rate, sel.sentAt)
+	}
+}
+
 // recordAnswer records that sel completed c. The end of an answer without a frame may also be a crash.
 func (f *Forwarder) recordAnswer(c *Call, sel *selection, a *Answer) {
 	if a.Framed {
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -16,6 +16,7 @@
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/place"
 	"wagtaillift/internal/services/quarantine"
 )
@@ -77,6 +78,7 @@
 	Header  http.Header // end-to-end header fields
 	NotRun  bool        // the upstream reported that it did not run the request
 	Stream  bool        // the body is an event stream
+	Rate    pace.Rate   // of requests that the upstream takes from all VMs together
 	Length  int64       // length of the body; -1 if unknown
 	Framed  bool        // the end of the body is marked; otherwise the body ends with its connection
 	Body    io.Reader
@@ -95,7 +97,8 @@
 type PrefillResult struct {
 	Source string // address of the engine and its handle for the prompt
 	Tokens id.Tokens
-	NotRun bool // the engine refused the prompt
+	NotRun bool      // the engine refused the prompt
+	Rate   pace.Rate // of requests that the engine takes from all VMs together
 }
 
 // Sink receives the answer for the caller.
--- a/internal/services/forward/exchange.go
+++ b/internal/services/forward/exchange.go
@@ -90,4 +90,5 @@
 		want[u.Name] = true
 	}
 	f.caches.retain(want)
+	f.Pace.Retain(want)
 }
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -19,6 +19,7 @@
 	"wagtaillift/internal/modules/lazy"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/limit"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/pipeline"
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/retry"
@@ -57,6 +58,7 @@
 	Meter          Meter
 	Quarantine     *quarantine.List
 	Detector       *quarantine.Detector
+	Pace           *pace.Table
 	Zone           id.Zone
 	Window         func(now time.Duration) id.Window
 	Members        func() int // number of VMs that send requests to upstreams
