Keep the requests of all VMs to an upstream within the limit that it names

Cause: no VM read the field. The number of requests to an upstream was bounded by connections and by its predicted wait only, and each VM chose by itself, four of them for the engine of the report. Ruled out: a limit kept by each VM for itself, and one kept at the choice only; no line of code knew it. They would have been next: the sum over VMs is what counts, and repeats and prompts read apart count too.

Time is now divided into slots of one request each at the rate that the upstream names, and each slot belongs to one VM (time-division multiple access). VMs need not ask each other. A slot can be used for a second, or to its end, so that little of the rate is lost. All sends take one: first ones, repeats, prompts and resumed streams. Other upstreams are chosen meanwhile; where every upstream has what it takes, a request waits for a quarter of its objective at most, and is refused as not run otherwise. The newest limit and its end travel with the loads of all VMs, so that a VM that restarts knows it, and all of them send again once one hears that there is none.

--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -16,6 +16,7 @@
 	"wagtaillift/internal/services/forward"
 	"wagtaillift/internal/services/loadsync"
 	"wagtaillift/internal/services/order"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/platform"
 )
 
@@ -104,6 +105,29 @@
 	return max(1, state.CountEntryVMs(v.authority.State().Members()))
 }
 
+// senders returns the VMs that send requests to the same upstreams as this one, in the order of their names.
+func (v *VM) senders() pace.Senders {
+	var s pace.Senders
+	for name, m := range v.authority.State().Members() {
+		if !v.sharesUpstreams(m) {
+			continue
+		}
+		s.Count++
+		if name < v.authority.VM() {
+			s.Rank++
+		}
+	}
+	return s
+}
+
+// sharesUpstreams reports whether a member sends requests to the upstreams of this VM.
+func (v *VM) sharesUpstreams(m state.Member) bool {
+	if v.platform != nil && m.Control {
+		return false
+	}
+	return v.cfg.Route.Scope == scopeFleet || m.Zone == v.authority.Zone()
+}
+
 // runningRequests returns the number of caller requests in progress.
 func (v *VM) runningRequests() int64 {
 	if v.platform != nil {
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -114,7 +114,7 @@
 	v.buildUsageMeter(inc)
 	v.buildQuarantine()
 	v.buildLimits()
-	v.pace.FleetTime = v.authority.FleetTime
+	v.pace.FleetTime, v.pace.Senders = v.authority.FleetTime, v.senders
 	if cfg.API == apiPlatform {
 		v.buildPlatform(inc)
 		return v, v.listen(v.platformEndpoints())
@@ -129,6 +129,9 @@
 	return v, v.listen(v.endpoints())
 }
 
+// scopeFleet is the value of the "route.scope" setting with which upstreams serve the VMs of all data centres.
+const scopeFleet = "fleet"
+
 // apiPlatform is the value of the "face" setting that selects the platform API.
 const apiPlatform = "platform"
 
@@ -152,7 +155,7 @@
 	cfg := v.cfg
 	v.orders = order.New(order.Options{
 		ControlPlane: v.authority, Roster: v.roster, Platform: cfg.Billing.Platform, PlatformClient: platformClient, Engines: engines,
-		MultiZone: cfg.Route.Scope == "fleet", Window: cfg.Billing.Window,
+		MultiZone: cfg.Route.Scope == scopeFleet, Window: cfg.Billing.Window,
 		SealDelay: cfg.Billing.SealDelay, Lease: cfg.Lease.ExclusiveRole, Now: v.authority.FleetTime,
 	})
 }
@@ -161,7 +164,7 @@
 // the route scope is "fleet".
 func (v *VM) buildRoster(inc id.Incarnation) {
 	a := v.authority
-	allZones := v.cfg.Route.Scope == "fleet"
+	allZones := v.cfg.Route.Scope == scopeFleet
 	v.gossip = &roster.Gossip{Transport: v.transport, Members: a.State().Members, VM: a.VM(), Zone: a.Zone(), MultiZone: allZones}
 	if allZones {
 		v.roster = roster.NewMultiZone(a.VM(), uint64(inc), v.cfg.Route.HeartbeatTimeout, v.gossip.Changed)
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -79,9 +79,13 @@
 			relaxed.Exclude = q.FallbackExclude
 			ch = f(clock.SinceBoot(), list(), &relaxed)
 		}
-		if ch.Upstream != nil {
-			release = d.acquire(ch.Upstream, q.KVBlocks)
+		if ch.Upstream == nil {
+			return ch
 		}
+		if !d.Pace.Take(clock.SinceBoot(), ch.Upstream) {
+			return route.Choice{Rule: route.Full}
+		}
+		release = d.acquire(ch.Upstream, q.KVBlocks)
 		return ch
 	}
 	if retrying { // a retry does not queue behind first attempts
@@ -127,14 +131,15 @@
 	if n := len(c.Prefix); n > 0 {
 		q.Prefix = c.Prefix[min(n-1, routingPrefixBlocks-1)]
 	}
-	if d.Quarantine.IsSuspect(p) {
-		q.Exclude = func(u *roster.Upstream) bool { return d.Quarantine.IsReserved(clock.SinceBoot(), u.Name) }
+	suspect := d.Quarantine.IsSuspect(p)
+	q.Exclude = func(u *roster.Upstream) bool {
+		now := clock.SinceBoot()
+		return d.Pace.Wait(now, u) > 0 || suspect && d.Quarantine.IsReserved(now, u.Name)
 	}
 	if len(tried) == 0 {
 		return q
 	}
-	reserved := q.Exclude
-	q.FallbackExclude = func(u *roster.Upstream) bool { return reserved != nil && reserved(u) }
+	q.FallbackExclude = q.Exclude
 	q.Exclude = func(u *roster.Upstream) bool { return tried[u.Name] || q.FallbackExclude(u) }
 	return q
 }
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -64,7 +64,7 @@
 		f.retryBudget(c).Earn(f.Retries.Ratio)
 	}
 	for {
-		sel, err := f.choose(c, p)
+		sel, err := f.choose(ctx, c, p)
 		if err != nil {
 			return f.finish(parent, ctx, c, p, err, out)
 		}
@@ -189,7 +189,7 @@
 	if sel.tokensToPrefill >= minSpeedSampleTokens && sel.queuedTokens < sel.tokensToPrefill {
 		sel.u.Stats.Read(true, sel.tokensToPrefill+sel.queuedTokens, took)
 	}
-	next, err := f.chooseDecoder(c, p, sel.u)
+	next, err := f.chooseDecoder(ctx, c, p, sel.u)
 	if err != nil {
 		return err
 	}
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math"
 	"net/http"
 	"sync"
@@ -55,22 +56,20 @@
 }
 
 // choose selects the upstream of the next attempt and adds c to its load.
-func (f *Forwarder) choose(c *Call, p *progress) (*selection, error) {
+func (f *Forwarder) choose(ctx context.Context, c *Call, p *progress) (*selection, error) {
 	model := c.service.Engine != nil && len(c.PromptParts) > 0
-	list := f.eligible(c, p, func(u *roster.Upstream) bool {
+	want := func(u *roster.Upstream) bool {
 		return model && !p.answerBegun && !p.skipPrefillOnly || u.Role != engine.Prefill
-	})
-	if len(list) == 0 {
-		return nil, refuse(http.StatusServiceUnavailable, call.NoUpstream, "no upstream of "+string(c.service.ID)+" is ready").WithRetryAfter(notReadyRetryAfter)
-	}
-	if !model {
-		return f.choosePlain(c, list).acquire(), nil
-	}
-	sel, err := f.chooseEngine(c, list, len(p.tried) > 0)
-	if err != nil {
-		return nil, err
 	}
-	return sel.acquire(), nil
+	return f.chooseInTurn(ctx, c, p, want, func(list []*roster.Upstream) (*selection, error) {
+		if len(list) == 0 {
+			return nil, refuse(http.StatusServiceUnavailable, call.NoUpstream, "no upstream of "+string(c.service.ID)+" is ready").WithRetryAfter(notReadyRetryAfter)
+		}
+		if !model {
+			return f.choosePlain(c, list), nil
+		}
+		return f.chooseEngine(c, list, len(p.tried) > 0)
+	})
 }
 
 // acquire adds the request to the load of its upstream.
@@ -81,24 +80,34 @@
 	return sel
 }
 
-// eligible returns the upstreams that may run c. Those with an open circuit are returned only if there are no others.
-func (f *Forwarder) eligible(c *Call, p *progress, want func(*roster.Upstream) bool) []*roster.Upstream {
+// eligible returns the upstreams that may run c. Those with an open circuit are returned only if there are no others. If the limits of
+// upstreams leave none now, it returns how long it takes until this VM may send to one of them.
+func (f *Forwarder) eligible(c *Call, p *progress, want func(*roster.Upstream) bool) (list []*roster.Upstream, wait time.Duration) {
 	now := clock.SinceBoot()
 	orders := f.Orders()
-	var closed, open []*roster.Upstream
+	var open []*roster.Upstream
 	for _, u := range f.Roster.Snapshot().Services[c.service.ID] {
-		switch {
-		case p.tried[u.Name] || !want(u) || orders[u.Name].ChangesRole(u.Incarnation, string(u.Role)):
+		if p.tried[u.Name] || !want(u) || orders[u.Name].ChangesRole(u.Incarnation, string(u.Role)) {
+			continue
+		}
+		switch d := f.Pace.Wait(now, u); {
+		case d > 0:
+			if wait == 0 || d < wait {
+				wait = d
+			}
 		case u.Stats.CircuitOpen(now):
 			open = append(open, u)
 		default:
-			closed = append(closed, u)
+			list = append(list, u)
 		}
 	}
-	if len(closed) > 0 {
-		return closed
+	if len(list) == 0 {
+		list = open
+	}
+	if len(list) > 0 {
+		wait = 0
 	}
-	return open
+	return list, wait
 }
 
 // Loads, as fractions of the slots, added to an engine in another data centre than this VM (remoteDecodePenalty) and to
@@ -109,10 +118,17 @@
 )
 
 // chooseDecoder selects the engine that generates the answer to the prompt processed on prefillEngine.
-func (f *Forwarder) chooseDecoder(c *Call, p *progress, prefillEngine *roster.Upstream) (*selection, error) {
+func (f *Forwarder) chooseDecoder(ctx context.Context, c *Call, p *progress, prefillEngine *roster.Upstream) (*selection, error) {
+	generates := func(u *roster.Upstream) bool { return u.Role != engine.Prefill }
+	return f.chooseInTurn(ctx, c, p, generates, func(list []*roster.Upstream) (*selection, error) {
+		return f.leastLoadedDecoder(c, list, prefillEngine)
+	})
+}
+
+func (f *Forwarder) leastLoadedDecoder(c *Call, list []*roster.Upstream, prefillEngine *roster.Upstream) (*selection, error) {
 	var best *roster.Upstream
 	least := math.Inf(1)
-	for _, u := range f.eligible(c, p, func(u *roster.Upstream) bool { return u.Role != engine.Prefill }) {
+	for _, u := range list {
 		load := relativeLoad(u, c.service.Engine.Slots)
 		if u.Zone != f.Zone {
 			load += remoteDecodePenalty
@@ -127,8 +143,7 @@
 	if best == nil {
 		return nil, refuse(http.StatusServiceUnavailable, call.NoUpstream, "no engine of "+string(c.service.ID)+" generates").WithRetryAfter(notReadyRetryAfter)
 	}
-	sel := &selection{u: best, rule: "generate"}
-	return sel.acquire(), nil
+	return &selection{u: best, rule: "generate"}, nil
 }
 
 // relativeLoad returns the load of u as a fraction of its slots, increased by its failure rate.
--- a/internal/services/forward/exchange.go
+++ b/internal/services/forward/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"sync/atomic"
 
+	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/loadsync"
+	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/place"
 	"wagtaillift/internal/services/roster"
 )
@@ -30,6 +32,12 @@
 	return list
 }
 
+// Limits implements loadsync.Work.
+func (f *Forwarder) Limits() []pace.Limit { return f.Pace.Limits(clock.SinceBoot()) }
+
+// MergeLimits implements loadsync.Work.
+func (f *Forwarder) MergeLimits(list []pace.Limit) { f.Pace.Merge(list) }
+
 // RequestedTokens implements loadsync.Work.
 func (f *Forwarder) RequestedTokens() []loadsync.RequestedTokens {
 	var list []loadsync.RequestedTokens
--- a/internal/services/loadsync/exchange.go
+++ b/internal/services/loadsync/exchange.go
@@ -1,5 +1,5 @@
 // Package loadsync shares between VMs which requests they have sent to the upstreams: the outstanding work of each
-// upstream, and the engines that have processed the leading parts of prompts. Each VM exchanges its data with one control
+// upstream, the limit that it names, and the engines that have processed the leading parts of prompts. Each VM exchanges its data with one control
 // VM, the hub, several times a second. In a large fleet there are several hubs, which also update each other.
 package loadsync
 
@@ -15,6 +15,7 @@
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
+	"wagtaillift/internal/services/pace"
 )
 
 const (
@@ -49,6 +50,7 @@
 	Epoch           uint64            `cbor:"3,keyasint,omitempty"` // epoch of the hub that numbered After
 	After           uint64            `cbor:"4,keyasint,omitempty"` // number of the last placement received
 	RequestedTokens []RequestedTokens `cbor:"5,keyasint,omitempty"` // since the last successful exchange
+	Limits          []pace.Limit      `cbor:"6,keyasint,omitempty"` // that upstreams named to this VM or to others
 }
 
 // RequestedTokens is the number of prompt tokens in requests to a service, including refused requests.
@@ -65,10 +67,11 @@
 
 // exchangeResponse is the answer of a hub: the work and the new placements of all other VMs.
 type exchangeResponse struct {
-	Loads         []Load   `cbor:"1,keyasint,omitempty"`
-	Placed        []Placed `cbor:"2,keyasint,omitempty"`
-	Epoch         uint64   `cbor:"3,keyasint"`
-	LastPlacement uint64   `cbor:"4,keyasint"`
+	Loads         []Load       `cbor:"1,keyasint,omitempty"`
+	Placed        []Placed     `cbor:"2,keyasint,omitempty"`
+	Epoch         uint64       `cbor:"3,keyasint"`
+	LastPlacement uint64       `cbor:"4,keyasint"`
+	Limits        []pace.Limit `cbor:"5,keyasint,omitempty"`
 }
 
 // Work provides this VM's own data and receives that of the other VMs.
@@ -76,7 +79,9 @@
 	Loads() []Load
 	Placed() []Placed                   // placements since the last call
 	RequestedTokens() []RequestedTokens // requested prompt tokens since the last call
+	Limits() []pace.Limit               // that upstreams named
 	SetOtherLoads(loads []Load)
+	MergeLimits(list []pace.Limit)
 	AddPlacements(list []Placed)
 }
 
@@ -124,10 +129,10 @@
 
 // exchangeOnce exchanges data with the first hub that answers. Data that no hub received is sent again next time.
 func (e *Exchange) exchangeOnce(ctx context.Context) {
-	req := exchangeRequest{Loads: e.Work.Loads(), Epoch: e.hubEpoch, After: e.lastPlacement}
+	req := exchangeRequest{Loads: e.Work.Loads(), Epoch: e.hubEpoch, After: e.lastPlacement, Limits: e.Work.Limits()}
 	e.unsentPlaced = append(e.unsentPlaced, e.Work.Placed()...)
 	req.Placed, req.RequestedTokens = e.unsentPlaced, e.gatherTokens()
-	if len(req.Loads) == 0 && len(req.Placed) == 0 && e.idlePeriods < maxIdlePeriods {
+	if len(req.Loads) == 0 && len(req.Placed) == 0 && len(req.Limits) == 0 && e.idlePeriods < maxIdlePeriods {
 		e.idlePeriods++
 		return
 	}
@@ -147,6 +152,7 @@
 		e.hubEpoch, e.lastPlacement = r.Epoch, r.LastPlacement
 		e.Work.SetOtherLoads(r.Loads)
 		e.Work.AddPlacements(r.Placed)
+		e.Work.MergeLimits(r.Limits)
 		return
 	}
 	e.unsentPlaced = e.unsentPlaced[max(0, len(e.unsentPlaced)-maxPlacements):]
--- a/internal/services/loadsync/hub.go
+++ b/internal/services/loadsync/hub.go
@@ -19,6 +19,8 @@
 	promptRates   map[id.Service]*rate
 	promptTokens  map[id.Service]int64 // total of prompt tokens in requests to this hub's VMs
 	peerHubs      map[id.VM]*peerHub
+	limits        sharedLimits // reported by this hub's VMs
+	otherLimits   sharedLimits // reported by other hubs
 }
 
 // peerHub is the state that a hub keeps about another hub.
@@ -94,6 +96,8 @@
 	h.expireReports(now)
 	out := exchangeResponse{Epoch: h.epoch, Loads: h.loadsExcept(req.Loads), Placed: h.placedAfter(from, req)}
 	h.addPlacements(from, false, req.Placed)
+	h.limits = h.limits.merge(now, req.Limits)
+	out.Limits = append(h.limits.list(now), h.otherLimits.list(now)...)
 	h.countPromptTokens(now, req.RequestedTokens)
 	if h.promptTokens == nil {
 		h.promptTokens = map[id.Service]int64{}
--- a/internal/services/loadsync/hub_update.go
+++ b/internal/services/loadsync/hub_update.go
@@ -12,6 +12,7 @@
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/peer"
+	"wagtaillift/internal/services/pace"
 )
 
 // singleHubMaxVMs is the largest number of entry VMs (those that send requests to upstreams) that a single hub serves. In
@@ -25,6 +26,7 @@
 	Loads           []Load               `cbor:"2,keyasint,omitempty"`
 	Placed          []Placed             `cbor:"3,keyasint,omitempty"`
 	RequestedTokens map[id.Service]int64 `cbor:"4,keyasint,omitempty"` // prompt tokens requested since the hub's start
+	Limits          []pace.Limit         `cbor:"5,keyasint,omitempty"`
 }
 
 // hubUpdate returns the update for the hub named to, and the number of the last placement that it covers.
@@ -33,6 +35,7 @@
 	defer h.mu.Unlock()
 	h.expireReports(now)
 	update := hubUpdate{Epoch: h.epoch, Loads: h.localLoads(), RequestedTokens: maps.Clone(h.promptTokens)}
+	update.Limits = h.limits.list(now)
 	for _, r := range h.placementsAfter(h.peerHub(to).reported) {
 		if !r.hub {
 			update.Placed = append(update.Placed, r.Placed)
@@ -65,6 +68,7 @@
 	defer h.mu.Unlock()
 	h.setReport(from, report{at: now, loads: update.Loads, hub: true})
 	h.addPlacements(from, true, update.Placed)
+	h.otherLimits = h.otherLimits.merge(now, update.Limits)
 	p := h.peerHub(from)
 	if p.epoch != update.Epoch {
 		p.epoch, p.promptTokens = update.Epoch, update.RequestedTokens // the first update since the hub's start has no earlier counts to compare with
--- a/internal/services/pace/pace.go
+++ b/internal/services/pace/pace.go
@@ -1,4 +1,7 @@
 // Package pace keeps the requests that all VMs together send to an upstream within the rate that the upstream names.
+//
+// Time is divided into slots of one request each, and each slot belongs to one VM (time-division multiple access). VMs need not ask
+// each other before a send, and what one of them does not know of another one does not add to the sum.
 package pace
 
 import (
@@ -40,7 +43,7 @@
 	At          int64       `cbor:"4,keyasint"`           // fleet time of the answer that said so, in milliseconds since the Unix epoch
 }
 
-// newer reports whether l replaces o.
-func (l Limit) newer(o Limit) bool {
+// Newer reports whether l replaces o.
+func (l Limit) Newer(o Limit) bool {
 	return l.Incarnation > o.Incarnation || l.Incarnation == o.Incarnation && l.At > o.At
 }
--- a/internal/services/pace/table.go
+++ b/internal/services/pace/table.go
@@ -2,11 +2,13 @@
 
 import (
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/rcu"
 	"wagtaillift/internal/services/roster"
@@ -15,10 +17,11 @@
 // shareTime is how long other VMs are told that an upstream names no limit any more.
 const shareTime = 10 * time.Second
 
-// Table holds the limits that upstreams have named. The zero value has none. It is safe for concurrent use; reading takes
-// no lock.
+// Table holds the limits that upstreams have named, and the slots that this VM has used. The zero value has no limits
+// and is for a single VM. It is safe for concurrent use; reading takes no lock.
 type Table struct {
 	FleetTime func(now time.Duration) time.Time // the same on all VMs; nil takes now as the time since the Unix epoch
+	Senders   func() Senders
 
 	entries rcu.Value[map[id.Upstream]*entry]
 }
@@ -26,6 +29,7 @@
 // entry is the limit of an upstream.
 type entry struct {
 	Limit
+	used *atomic.Int64 // start of the last slot that this VM used, in nanoseconds since the Unix epoch
 }
 
 // fleetTime returns the fleet's time at now.
@@ -53,7 +57,7 @@
 func (t *Table) Merge(list []Limit) {
 	newer := func(entries map[id.Upstream]*entry, l Limit) bool {
 		old, ok := entries[l.Upstream]
-		return !ok || l.newer(old.Limit)
+		return !ok || l.Newer(old.Limit)
 	}
 	changed := false
 	for _, l := range list {
@@ -78,10 +82,10 @@
 
 // replace returns the entry for l in place of e, which may be nil, and logs a changed rate.
 func (e *entry) replace(l Limit) *entry {
-	n := &entry{Limit: l}
+	n := &entry{Limit: l, used: &atomic.Int64{}}
 	rate := Rate(0)
 	if e != nil {
-		rate = e.Rate
+		n.used, rate = e.used, e.Rate
 	}
 	if l.Rate != rate {
 		metrics.GetOrCreateCounter(`wagtaillift_named_limits_total`).Inc()
@@ -116,3 +120,49 @@
 		return next
 	})
 }
+
+// Wait returns how long it takes until this VM may send a request to u; zero if it may now.
+func (t *Table) Wait(now time.Duration, u *roster.Upstream) time.Duration {
+	e := t.limitOf(u)
+	if e == nil {
+		return 0
+	}
+	at := t.fleetTime(now).UnixNano()
+	return max(0, time.Duration(t.nextSlot(e, at, e.used.Load())-at))
+}
+
+// Take uses a slot for a request to u. It returns false if this VM has none now.
+func (t *Table) Take(now time.Duration, u *roster.Upstream) bool {
+	e := t.limitOf(u)
+	if e == nil {
+		return true
+	}
+	at := t.fleetTime(now).UnixNano()
+	for {
+		used := e.used.Load()
+		slot := t.nextSlot(e, at, used)
+		if slot > at {
+			return false
+		}
+		if e.used.CompareAndSwap(used, slot) {
+			return true
+		}
+	}
+}
+
+func (t *Table) nextSlot(e *entry, at, used int64) int64 {
+	var s Senders
+	if t.Senders != nil {
+		s = t.Senders()
+	}
+	return s.nextSlot(at, used, e.period(), hash.String(e.Upstream))
+}
+
+// limitOf returns the limit that u names, or nil if it names none.
+func (t *Table) limitOf(u *roster.Upstream) *entry {
+	e, ok := t.entries.Load()[u.Name]
+	if !ok || e.Rate <= 0 || e.Incarnation != u.Incarnation {
+		return nil
+	}
+	return e
+}
