Test: the upstream that is passed over is the preferred one

TestLimitedUpstreamIsPassedOver named a limit for an upstream that was not chosen anyway; with the check taken out it now fails on both routes.

--- a/internal/services/forward/turn_test.go
+++ b/internal/services/forward/turn_test.go
@@ -25,12 +25,23 @@
 
 // Guards against sends to an upstream that has what it takes, first ones and repeats, while others have room.
 func TestLimitedUpstreamIsPassedOver(t *testing.T) {
-	s := newFixture(t, sendResult{fail: true, sent: true}, okResult("a"))
-	s.nameRate(pace.ParseRate("0", "a1"), "a1")
-	require.NoError(t, s.Serve(context.Background(), newCall("/safe/"), &fakeSink{}))
-	require.Len(t, s.up.targets, 2)
-	for _, to := range s.up.targets {
-		require.NotEqual(t, id.Upstream("a1"), to.Upstream)
+	for _, path := range []string{"/safe/", "/resumable/"} {
+		t.Run(path, func(t *testing.T) {
+			s := newFixture(t, okResult("a"), sendResult{notRun: true}, okResult("a"))
+			require.NoError(t, s.Serve(context.Background(), newCall(path), &fakeSink{}))
+			preferred := s.up.targets[0].Upstream
+			if path == "/safe/" {
+				s.nameRate(pace.ParseRate("0", preferred), preferred)
+				require.NoError(t, s.Serve(context.Background(), newCall(path), &fakeSink{}))
+				require.Len(t, s.up.targets, 3)
+			} else {
+				s.nameRate(pace.ParseRate("0", preferred), "e1", "e2")
+				requireRefusal(t, s.Serve(context.Background(), newCall(path), &fakeSink{}))
+			}
+			for _, to := range s.up.targets[1:] {
+				require.NotEqual(t, preferred, to.Upstream)
+			}
+		})
 	}
 }
 
