Do not refuse a request for two crashes that may be those of a part beside it

Cause: a request is refused after two crashes one after the other, a part after three. A frequent request that ran beside the first two crashes of a part was refused for one to two minutes before the part was known, and no completed run could clear it.

A request is now not refused for crashes that a part which it does not hold may have caused as well; it is after a third crash without that part. Where suspects run isolated (OpenAI face) two crashes stay enough. TestRequestBesideDoubtfulPartIsServed failed before.

--- a/internal/models/suspect/part.go
+++ b/internal/models/suspect/part.go
@@ -84,6 +84,7 @@
 type Culprits struct {
 	parts    map[Fingerprint]Record
 	explains map[incarnation]bool // crashes of which a culprit is the cause
+	doubtful []candidate          // parts that may be the cause of further crashes
 }
 
 // Part returns the crashes of which a part is the cause.
@@ -100,14 +101,33 @@
 	return slices.DeleteFunc(slices.Clone(r), func(x Crash) bool { return c.explains[x.incarnation()] })
 }
 
+// Doubtful reports whether the crashes of r, the record of a request, may as well be those of a part that the request does not hold. That is
+// not so any more once they come one after the other as often as for a part.
+func (c Culprits) Doubtful(r Record, own []Fingerprint) bool {
+	if r.rounds() >= minPartRounds {
+		return false
+	}
+	return slices.ContainsFunc(c.doubtful, func(n candidate) bool {
+		return !slices.Contains(own, n.part) && n.crashes.covers(r)
+	})
+}
+
+// covers reports whether each crash of o is in r.
+func (r Record) covers(o Record) bool {
+	return !slices.ContainsFunc(o, func(x Crash) bool { return !slices.ContainsFunc(r, x.same) })
+}
+
 // Culprits finds the parts that explain the crashes in t. The part with the most crashes is taken first and explains all of its
 // crashes; each other one is judged by what is left for it, so that parts which were beside a culprit are not blamed (after the greedy
 // algorithm for set covers, with the order of the first step for all steps).
 func (t Table) Culprits() Culprits {
 	var found Culprits
-	for _, n := range t.guiltyParts() {
-		if left := found.Unexplained(n.crashes); left.guiltyPart() {
+	for _, n := range t.doubtfulParts() {
+		switch left := found.Unexplained(n.crashes); {
+		case left.guiltyPart():
 			found = found.with(n.part, left)
+		case len(left) >= minRounds:
+			found.doubtful = append(found.doubtful, candidate{n.part, left})
 		}
 	}
 	return found
@@ -125,10 +145,10 @@
 	return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(y.Position, x.Position), cmp.Compare(a.part, b.part))
 }
 
-// guiltyParts returns the candidates in their order.
-func (t Table) guiltyParts() (list []candidate) {
+// doubtfulParts returns the parts with several crashes, in the order of candidates.
+func (t Table) doubtfulParts() (list []candidate) {
 	for p, r := range t {
-		if r.guiltyPart() {
+		if len(r) >= minRounds && r.requests() > 0 {
 			list = append(list, candidate{p, r})
 		}
 	}
@@ -139,7 +159,7 @@
 // with returns c with one more part and the crashes of which it is the cause.
 func (c Culprits) with(part Fingerprint, crashes Record) Culprits {
 	if c.parts == nil {
-		c = Culprits{parts: map[Fingerprint]Record{}, explains: map[incarnation]bool{}}
+		c.parts, c.explains = map[Fingerprint]Record{}, map[incarnation]bool{}
 	}
 	c.parts[part] = crashes
 	for _, x := range crashes {
--- a/internal/services/quarantine/part_test.go
+++ b/internal/services/quarantine/part_test.go
@@ -65,6 +65,32 @@
 	require.False(t, refused)
 }
 
+// A frequent request ran beside a part in both of its first crashes, which were of one request or of two. Which of them is the cause is not
+// known yet; the request is refused if it goes on to crash upstreams without the part.
+func TestRequestBesideDoubtfulPartIsServed(t *testing.T) {
+	for _, requests := range []int{1, 2} {
+		t.Run(fmt.Sprint(requests), func(t *testing.T) {
+			var l List
+			beside := func(now time.Duration) Run {
+				return Run{Request: Request{Print: 7, Parts: []Fingerprint{first}}, SentAt: now - 50*time.Millisecond}
+			}
+			for i := range 2 {
+				now := time.Duration(i+1) * time.Second
+				doubtful := Run{Request: Request{Print: Fingerprint(1000 + i%requests), Parts: []Fingerprint{first, crashing}}, SentAt: now - 100*time.Millisecond}
+				l.RecordCrash(now, id.Upstream(fmt.Sprint("u", i)), 1, []Run{doubtful, beside(now)})
+			}
+			requireBeside := func(now time.Duration, want bool) {
+				t.Helper()
+				_, refused := l.Refused(now, beside(now).Request, hold)
+				require.Equal(t, want, refused)
+			}
+			requireBeside(2*time.Second, false)
+			l.RecordCrash(3*time.Second, "u3", 1, []Run{beside(3 * time.Second)})
+			requireBeside(3*time.Second, true)
+		})
+	}
+}
+
 // Upstreams end for another reason. A part that completes on others is not refused, also not where only the log says that it is.
 func TestCompletedPartIsServed(t *testing.T) {
 	var l List
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -222,15 +222,24 @@
 			left = max(left, until.Sub(at))
 		}
 	}
+	crashes := l.unexplained(q.Print)
 	if h.Short < h.Long {
 		h.Short = l.stagger(h.Short, q.Print)
+		if l.doubtful(crashes, q.Parts) {
+			return left, left > 0
+		}
 	}
-	if until, ok := l.unexplained(q.Print).RefusedUntil(h); ok {
+	if until, ok := crashes.RefusedUntil(h); ok {
 		left = max(left, until.Sub(at))
 	}
 	return left, left > 0
 }
 
+// doubtful reports whether the crashes of a request may as well be those of a part that it does not hold.
+func (l *List) doubtful(r suspect.Record, own []Fingerprint) bool {
+	return len(r) > 0 && (l.culprits.Load().Doubtful(r, own) || l.committedCulprits().Doubtful(r, own))
+}
+
 // unexplained returns the crashes of p without those of which a part of another request's prompt is the cause.
 func (l *List) unexplained(p Fingerprint) suspect.Record {
 	return l.committedCulprits().Unexplained(l.culprits.Load().Unexplained(l.Crashes(p)))
