Test: stop the clock where a request to limited upstreams must be refused

TestStreamToLimitedEnginesIsRefused failed once, in a run of the whole script (unexpected send): it used the real clock, and a slot of 4 s began within the 125 ms for which a request waits. That is the case of "the next slot is near".

--- a/internal/services/forward/turn_test.go
+++ b/internal/services/forward/turn_test.go
@@ -23,9 +23,15 @@
 	}
 }
 
+// stopFleetTime keeps the slots of all upstreams where they are.
+func (s *fixture) stopFleetTime() {
+	s.Pace.FleetTime = func(time.Duration) time.Time { return time.Unix(1_796_000_000, 0) }
+}
+
 // Guards against sends to an upstream that has what it takes, first ones and repeats, while others have room.
 func TestLimitedUpstreamIsPassedOver(t *testing.T) {
 	s := newFixture(t, okResult("a"), sendResult{notRun: true}, okResult("a"))
+	s.stopFleetTime()
 	require.NoError(t, s.Serve(context.Background(), newCall("/safe/"), &fakeSink{}))
 	preferred := s.up.targets[0].Upstream
 	s.nameRate(pace.ParseRate("0", preferred), preferred)
@@ -39,6 +45,7 @@
 // No engine may be sent a stream.
 func TestStreamToLimitedEnginesIsRefused(t *testing.T) {
 	s := newFixture(t)
+	s.stopFleetTime()
 	s.nameRate(pace.ParseRate("0", "e1"), "e1", "e2")
 	r := requireRefusal(t, s.Serve(context.Background(), newCall("/resumable/"), &fakeSink{}))
 	require.Equal(t, call.RunNo, r.Run)
@@ -54,7 +61,7 @@
 	})
 	t.Run("the next slot is far", func(t *testing.T) {
 		s := newFixture(t)
-		s.Pace.FleetTime = func(time.Duration) time.Time { return time.Unix(1_796_000_000, 0) } // all slots up to now are used
+		s.stopFleetTime()
 		s.nameRate(pace.ParseRate("0", "a1"), "a1", "a2", "a3")
 		r := requireRefusal(t, s.Serve(context.Background(), newCall("/unsafe/"), &fakeSink{}))
 		require.Equal(t, call.Busy, r.Code)
