--- a/internal/models/suspect/part_test.go
+++ b/internal/models/suspect/part_test.go
@@ -273,3 +273,14 @@
 		})
 	}
 }
+
+// Crashes show only as silence and are noticed 4 s late, while requests with the crashing part go on to come.
+func TestSilentPartLoad(t *testing.T) {
+	for name, interval := range map[string]int{"1.4 a second": 700, "one in 2 s": 2000, "one in 4 s": 4000} {
+		t.Run(name, func(t *testing.T) {
+			l := &partLoad{rnd: rand.New(rand.NewPCG(0, 1)), interval: interval, noticedAfter: 4000, guilty: 100}
+			l.play(t)
+			require.LessOrEqual(t, l.late, 3, "seed 0: %d crashes", l.crashes)
+		})
+	}
+}
