--- a/internal/services/call/call.go
+++ b/internal/services/call/call.go
@@ -151,6 +151,7 @@
 // Attempt records one dispatch, to explain the routing decision.
 type Attempt struct {
 	Upstream id.Upstream `json:"upstream"`
+	Version  string      `json:"version,omitempty"` // software version that the upstream announced
 	Rule     string      `json:"rule"`
 	Load     float64     `json:"load"` // fraction of the capacity; in package forward, estimated milliseconds to the first event
 	Error    string      `json:"error,omitempty"`
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -206,7 +206,7 @@
 
 // recordAttempt adds an attempt to the call's attempt log, from which the routing decision is explained.
 func recordAttempt(c *call.Call, ch route.Choice, err error) {
-	a := call.Attempt{Upstream: ch.Upstream.Name, Rule: string(ch.Rule), Load: ch.Load}
+	a := call.Attempt{Upstream: ch.Upstream.Name, Version: ch.Upstream.Version, Rule: string(ch.Rule), Load: ch.Load}
 	if err != nil {
 		a.Error = err.Error()
 		klog.InfoS("Attempt failed", "request", c.ID, "step", step, "upstream", ch.Upstream.Name, "address", ch.Upstream.Address, "err", err)
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -86,7 +86,7 @@
 
 // recordAttempt adds an attempt to the log line of the request.
 func (f *Forwarder) recordAttempt(c *Call, sel *selection, err error) {
-	a := call.Attempt{Upstream: sel.u.Name, Rule: sel.rule, Load: float64(sel.firstEventDelay.Milliseconds())}
+	a := call.Attempt{Upstream: sel.u.Name, Version: sel.u.Version, Rule: sel.rule, Load: float64(sel.firstEventDelay.Milliseconds())}
 	if err != nil {
 		a.Error = err.Error()
 	}
@@ -306,7 +306,7 @@
 		sel.u.Stats.RecordOutcome(true)
 		f.checkCrash(ctx, c, sel)
 	}
-	klog.InfoS("Attempt failed", "request", c.ID, "fingerprint", c.print(), "parts", quarantine.JoinPrints(c.SharedParts), "upstream", sel.u.Name, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
+	klog.InfoS("Attempt failed", "request", c.ID, "fingerprint", c.print(), "parts", quarantine.JoinPrints(c.SharedParts), "upstream", sel.u.Name, "version", sel.u.Version, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
 	return &attemptError{err: err, sent: sent}
 }
 
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -40,6 +40,7 @@
 	TokensDeclared bool          // PromptTokens and OutputTokens were given by the caller
 	CallerTimeout  time.Duration // how long the caller waits; zero if not given
 	LastEventID    string        // ID of the last event that the caller received from an earlier answer
+	Resumes        id.Request    // the request whose answer brought the first event of the stream that LastEventID belongs to
 	Start          time.Time
 	StartSinceBoot time.Duration // clock.SinceBoot at Start
 
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
@@ -34,6 +35,9 @@
 	notReadyRetryAfter = 500 * time.Millisecond // a VM without configuration or lease usually has them again after this time
 )
 
+// resumedStreams counts the streams of earlier answers that callers resumed.
+var resumedStreams = metrics.NewCounter("wagtaillift_resumed_streams_total")
+
 // Meter counts the requests that upstreams began to run.
 type Meter interface {
 	AddInWindow(w id.Window, c id.Customer, s id.Service, n usage.Count)
@@ -75,6 +79,10 @@
 // Serve writes the answer of c to out. The caller API writes a returned refusal; on ErrTruncated and ErrCallerGone it
 // aborts the connection.
 func (f *Forwarder) Serve(ctx context.Context, c *Call, out Sink) error {
+	if c.LastEventID != "" {
+		klog.InfoS("Caller resumes a stream", "request", c.ID, "resumes", c.Resumes, "last", c.LastEventID)
+		resumedStreams.Inc()
+	}
 	p := progress{tried: map[id.Upstream]bool{}}
 	for range maxDecisions {
 		previous := c.service.ID
