--- a/internal/routers/vm/fleet_test.go
+++ b/internal/routers/vm/fleet_test.go
@@ -210,17 +210,24 @@
 }
 
 func (f *fleet) startEngine(i int, faults emulate.Faults) *emulate.Engine {
-	return f.startPricedEngine(i, faults, false)
+	return f.startAnnouncedEngine(i, faults, engine.Announcement{})
 }
 
 // startPricedEngine starts an engine that may be reclaimed (cheap) or not.
 func (f *fleet) startPricedEngine(i int, faults emulate.Faults, cheap bool) *emulate.Engine {
+	return f.startAnnouncedEngine(i, faults, engine.Announcement{Cheap: cheap})
+}
+
+// startEngineOfVersion starts an engine of a software version.
+func (f *fleet) startEngineOfVersion(i int, version string, faults emulate.Faults) *emulate.Engine {
+	return f.startAnnouncedEngine(i, faults, engine.Announcement{Version: version})
+}
+
+// startAnnouncedEngine starts an engine that announces a and the fields that all engines of a fleet share.
+func (f *fleet) startAnnouncedEngine(i int, faults emulate.Faults, a engine.Announcement) *emulate.Engine {
+	a.Name, a.Zone, a.Address, a.Model, a.KVBlocks = id.Upstream(fmt.Sprint("engine", i)), testZone, "127.0.0.1:0", testModel, 100000
 	e := emulate.NewEngine(emulate.Options{
-		Announcement: engine.Announcement{
-			Name: id.Upstream(fmt.Sprint("engine", i)), Zone: testZone, Address: "127.0.0.1:0", Model: testModel, KVBlocks: 100000,
-			Cheap: cheap,
-		},
-		Announce: f.announceURLs(), Credential: f.secrets["upstream"], Timing: fastTiming(), Faults: faults, Seed: uint64(i),
+		Announcement: a, Announce: f.announceURLs(), Credential: f.secrets["upstream"], Timing: fastTiming(), Faults: faults, Seed: uint64(i),
 		Restart: 300 * time.Millisecond,
 	})
 	require.NoError(f.t, e.Start(f.ctx))
