Continue streams only at the software version that began them

What callers saw: streams with events of two software versions of a service, within an answer and after they resumed it at another VM.

Cause: the choice of an engine for the rest of a stream knew nothing of the stream but its last event. Class: state that belongs to one logical stream, kept by none of the VMs that serve it, or only for the time of one answer.

Change: within an answer, engines of other versions are excluded once it has begun, on both faces. The refusal of late requests does not apply to streams that have begun.

Why it works: the origin is fixed by the first event passed on and never changes, so that any copy is right; without a copy nothing is sent.

Ruled out: a guess from the versions that a VM knows, which is wrong at a VM that is cut off.

--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -16,6 +16,7 @@
 	"wagtaillift/internal/services/forward"
 	"wagtaillift/internal/services/loadsync"
 	"wagtaillift/internal/services/order"
+	"wagtaillift/internal/services/origin"
 	"wagtaillift/internal/services/pace"
 	"wagtaillift/platform"
 )
@@ -52,7 +53,7 @@
 	server.forwarder = &forward.Forwarder{
 		Config: a.Config, Guard: a, Limiter: v.limiter, Roster: v.roster,
 		UpstreamClient: &platform.UpstreamClient{Pool: server.pool}, Meter: v.meter, Quarantine: v.quarantineList,
-		Detector: v.detector, Pace: v.pace, Zone: a.Zone(), Members: v.entryCount,
+		Detector: v.detector, Pace: v.pace, Origins: v.buildOrigins(), Zone: a.Zone(), Members: v.entryCount,
 		Window: func(now time.Duration) id.Window {
 			return id.WindowAt(a.FleetTime(now), v.cfg.Billing.Window)
 		},
@@ -81,6 +82,14 @@
 	v.buildOrderService(cloud, &platform.EngineOrderClient{Sender: order.NewSender()})
 }
 
+// buildOrigins creates the exchange of the origins of streams.
+func (v *VM) buildOrigins() *origin.Exchange {
+	a := v.authority
+	e := &origin.Exchange{VM: a.VM(), Zone: a.Zone(), Transport: v.transport, Members: a.State().Members}
+	e.Register()
+	return e
+}
+
 // platformEndpoints returns the endpoints of the platform API.
 func (v *VM) platformEndpoints() []endpoint {
 	server := v.platform
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -16,12 +16,14 @@
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/roster"
+	"wagtaillift/internal/services/route"
 )
 
 // progress is the state of a response over all attempts of a call.
 type progress struct {
 	repeats int          // retries of an upstream already tried
 	tokens  id.Tokens    // delivered to the caller
+	version string       // software version of the engine that generated the first token
 	chunks  bytes.Buffer // JSON chunks delivered to the caller, one per line
 	sent    bool         // an attempt sent bytes to an upstream
 	now     bool         // the current attempt sent bytes to its upstream
@@ -107,7 +109,9 @@
 	kvBlocks := requiredKVBlocks(c)
 	list := func() []*roster.Upstream { return d.Roster.Snapshot().Models[c.Service.Model] }
 	retrying := len(tried) > 0
-	ch, release, err := d.pick(ctx, c, list, d.newQuery(c, kvBlocks, p, tried), retrying)
+	q := d.newQuery(c, kvBlocks, p, tried)
+	pr.keepVersion(q)
+	ch, release, err := d.pick(ctx, c, list, q, retrying)
 	if err != nil {
 		return err
 	}
@@ -188,6 +192,9 @@
 	}
 	defer resp.Body.Close()
 	d.observeAnswer(u, resp, pr.sentAt)
+	if pr.tokens == 0 {
+		pr.version = u.Version
+	}
 	if err := checkStream(resp, c.ID); err != nil {
 		return errors.Annotatef(err, "answer of upstream %s", u.Address)
 	}
@@ -198,6 +205,21 @@
 	return errors.Annotatef(err, "stream from upstream %s", u.Address)
 }
 
+// keepVersion excludes engines of other software versions once a token was delivered, because engines of different versions do not
+// continue each other's answers.
+func (pr *progress) keepVersion(q *route.Query) {
+	if pr.tokens == 0 {
+		return
+	}
+	exclude := func(other func(*roster.Upstream) bool) func(*roster.Upstream) bool {
+		return func(u *roster.Upstream) bool { return u.Version != pr.version || other(u) }
+	}
+	q.Exclude = exclude(q.Exclude)
+	if q.FallbackExclude != nil {
+		q.FallbackExclude = exclude(q.FallbackExclude)
+	}
+}
+
 // resume returns the state from which the next engine continues, or nil if no token was delivered.
 func (pr *progress) resume() *call.Resume {
 	if pr.tokens == 0 {
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -392,7 +392,7 @@
 		data, block, err := ev.next()
 		if errors.Is(err, io.EOF) {
 			a.Release(true)
-			return f.endStream(p, a, out, held)
+			return f.endStream(c, sel, p, a, out, held)
 		}
 		if err != nil {
 			a.Release(false)
@@ -407,7 +407,7 @@
 			f.recordFirstEvent(c, sel, start)
 		}
 		if !p.answerBegun {
-			if err := f.beginAnswer(p, a, out); err != nil {
+			if err := f.beginAnswer(c, sel, p, a, out); err != nil {
 				a.Release(false)
 				return err
 			}
@@ -430,9 +430,9 @@
 }
 
 // endStream passes on what is left of a complete stream.
-func (f *Forwarder) endStream(p *progress, a *Answer, out Sink, rest []byte) error {
+func (f *Forwarder) endStream(c *Call, sel *selection, p *progress, a *Answer, out Sink, rest []byte) error {
 	if !p.answerBegun {
-		if err := f.beginAnswer(p, a, out); err != nil {
+		if err := f.beginAnswer(c, sel, p, a, out); err != nil {
 			return err
 		}
 	}
@@ -442,8 +442,9 @@
 	return nil
 }
 
-func (f *Forwarder) beginAnswer(p *progress, a *Answer, out Sink) error {
+func (f *Forwarder) beginAnswer(c *Call, sel *selection, p *progress, a *Answer, out Sink) error {
 	p.answerBegun = true
+	f.recordOrigin(c, sel)
 	if err := out.Begin(a); err != nil {
 		return ErrCallerGone
 	}
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -16,6 +16,7 @@
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/origin"
 	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/place"
 	"wagtaillift/internal/services/quarantine"
@@ -56,6 +57,8 @@
 	firstEventDelay time.Duration // from Start to the first event
 	events          int
 	lastEventID     string // ID of the last event passed on
+	begun           bool   // the stream has begun, in this answer or an earlier one of the caller
+	origin          origin.Origin
 	attempts        []call.Attempt
 }
 
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -59,7 +59,7 @@
 func (f *Forwarder) choose(ctx context.Context, c *Call, p *progress) (*selection, error) {
 	model := c.service.Engine != nil && len(c.PromptParts) > 0
 	want := func(u *roster.Upstream) bool {
-		return model && !p.answerBegun && !p.skipPrefillOnly || u.Role != engine.Prefill
+		return model && !c.begun && !p.skipPrefillOnly || u.Role != engine.Prefill
 	}
 	return f.chooseInTurn(ctx, c, p, want, func(list []*roster.Upstream) (*selection, error) {
 		if len(list) == 0 {
@@ -68,7 +68,7 @@
 		if !model {
 			return f.choosePlain(c, list), nil
 		}
-		return f.chooseEngine(c, list, len(p.tried) > 0)
+		return f.chooseEngine(c, list, c.begun || len(p.tried) > 0)
 	})
 }
 
@@ -87,7 +87,7 @@
 	orders := f.Orders()
 	var open []*roster.Upstream
 	for _, u := range f.Roster.Snapshot().Services[c.service.ID] {
-		if p.tried[u.Name] || !want(u) || orders[u.Name].ChangesRole(u.Incarnation, string(u.Role)) {
+		if p.tried[u.Name] || !c.mayContinueAt(u) || !want(u) || orders[u.Name].ChangesRole(u.Incarnation, string(u.Role)) {
 			continue
 		}
 		switch d := f.Pace.Wait(now, u); {
@@ -173,8 +173,8 @@
 	return &selection{u: best, rule: "leastload"}
 }
 
-// chooseEngine selects an engine with package place. If retried is set, the call was sent before and is not rejected as
-// late.
+// chooseEngine selects an engine with package place. If retried is set, the call was sent or its stream has begun before, and it is
+// not rejected as late.
 func (f *Forwarder) chooseEngine(c *Call, list []*roster.Upstream, retried bool) (*selection, error) {
 	prefixHash := c.PromptParts[max(0, len(c.PromptParts)-2)].Chain
 	cachedTokens := f.caches.cached(f.Roster.Snapshot().Services[c.service.ID], c.PromptParts)
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -20,6 +20,7 @@
 	"wagtaillift/internal/modules/lazy"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/limit"
+	"wagtaillift/internal/services/origin"
 	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/pipeline"
 	"wagtaillift/internal/services/quarantine"
@@ -63,6 +64,7 @@
 	Quarantine     *quarantine.List
 	Detector       *quarantine.Detector
 	Pace           *pace.Table
+	Origins        *origin.Exchange
 	Zone           id.Zone
 	Window         func(now time.Duration) id.Window
 	Members        func() int // number of VMs that send requests to upstreams
@@ -133,6 +135,11 @@
 		f.logQuarantined(c, wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 	}
+	if first {
+		if err := f.findOrigin(ctx, c); err != nil {
+			return err
+		}
+	}
 	if !first || c.customer.ID == "" {
 		return nil
 	}
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -26,6 +26,7 @@
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/limit"
+	"wagtaillift/internal/services/origin"
 	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/place"
 	"wagtaillift/internal/services/quarantine"
@@ -204,7 +205,7 @@
 	list := &quarantine.List{}
 	s.Forwarder = &Forwarder{
 		Config: s.machine.Config, Guard: s.guard, Limiter: &limit.Limiter{}, Roster: r, UpstreamClient: s.up, Meter: s.meter,
-		Quarantine: list, Detector: &quarantine.Detector{Roster: r, List: list}, Pace: &pace.Table{}, Zone: "z", Window: func(time.Duration) id.Window { return 1 },
+		Quarantine: list, Detector: &quarantine.Detector{Roster: r, List: list}, Pace: &pace.Table{}, Origins: &origin.Exchange{}, Zone: "z", Window: func(time.Duration) id.Window { return 1 },
 		Members: func() int { return 1 }, Retries: Retries{Ratio: 0.2, Burst: 100},
 		Orders: func() map[id.Upstream]order.Order { return s.orders },
 	}
--- /dev/null
+++ b/internal/services/forward/origin.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/origin"
+	"wagtaillift/internal/services/roster"
+)
+
+// mayContinueAt reports whether u may continue c. Upstreams of different software versions do not continue each other's streams, and
+// do not check this.
+func (c *Call) mayContinueAt(u *roster.Upstream) bool {
+	return !c.begun || u.Version == c.origin.Version
+}
+
+func (c *Call) originKey(request id.Request) origin.Key {
+	return origin.Key{Customer: c.customer.ID, Request: request}
+}
+
+// recordOrigin records that the stream of c begins at sel, unless it continues an earlier one.
+func (f *Forwarder) recordOrigin(c *Call, sel *selection) {
+	if c.begun || !c.route.Resumable {
+		return
+	}
+	c.begun = true
+	c.origin = origin.Origin{Service: c.service.ID, Version: sel.u.Version}
+	f.Origins.Record(c.originKey(c.ID), c.origin)
+}
+
+// findOrigin finds where the stream that c resumes began. Without it c is refused, since the wrong version would corrupt the stream.
+func (f *Forwarder) findOrigin(ctx context.Context, c *Call) error {
+	if c.LastEventID == "" || !c.route.Resumable {
+		return nil
+	}
+	o, ok := f.Origins.Find(ctx, c.originKey(c.Resumes))
+	if !ok {
+		klog.InfoS("Resumed stream refused: its origin is not known", "request", c.ID, "resumes", c.Resumes)
+		return refuse(http.StatusServiceUnavailable, call.NoUpstream, "the software version that began the stream is not known").WithRetryAfter(shortRetryAfter)
+	}
+	klog.InfoS("Origin of a resumed stream", "request", c.ID, "resumes", c.Resumes, "service", o.Service, "version", o.Version)
+	c.begun, c.origin = true, o
+	return nil
+}
--- a/internal/services/forward/version_test.go
+++ b/internal/services/forward/version_test.go
@@ -10,6 +10,8 @@
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/services/call"
+	"wagtaillift/internal/services/origin"
 )
 
 // announceVersions adds engines of the given versions and returns the version of every engine of the fixture.
@@ -56,3 +58,61 @@
 		require.Equal(t, sampleEvents(1, 4), out.body.String())
 	})
 }
+
+// resumingCall returns a call that resumes the stream of request "q0" after its second event.
+func resumingCall(path string) *Call {
+	c := newCall(path)
+	c.LastEventID, c.Resumes = "2", "q0"
+	return c
+}
+
+// A stream that its caller resumes goes on only at an engine of the software version that began it, which another VM may have chosen.
+func TestResumedStreamKeepsItsVersion(t *testing.T) {
+	rest := sendResult{status: 200, stream: true, body: sampleEvents(3, 4)}
+	began := func(s *fixture, version string) {
+		s.Origins.Table.Put(clock.SinceBoot(), origin.Key{Customer: "c", Request: "q0"}, origin.Origin{Service: model, Version: version})
+	}
+	for _, version := range []string{"v1", "v2", "v3"} {
+		t.Run("begun at "+version, func(t *testing.T) {
+			s := newFixture(t, rest)
+			versions := s.announceVersions(t, "v1", "v2", "v3")
+			began(s, version)
+			out := &fakeSink{}
+			require.NoError(t, s.Serve(context.Background(), resumingCall("/resumable/"), out))
+			require.Equal(t, sampleEvents(3, 4), out.body.String())
+			require.Equal(t, version, versions[s.up.targets[0].Upstream])
+			require.Equal(t, "2", s.up.targets[0].LastEventID)
+		})
+	}
+	t.Run("it keeps the version after another attempt", func(t *testing.T) {
+		s := newFixture(t, sendResult{status: 200, stream: true, body: sampleEvents(3, 3), truncated: true}, sendResult{status: 200, stream: true, body: sampleEvents(4, 4)})
+		versions := s.announceVersions(t, "v2", "v1", "v2", "v3", "v3", "v3")
+		began(s, "v2")
+		out := &fakeSink{}
+		require.NoError(t, s.Serve(context.Background(), resumingCall("/resumable/"), out))
+		require.Equal(t, "v2", versions[s.up.targets[0].Upstream])
+		require.Equal(t, "v2", versions[s.up.targets[1].Upstream])
+	})
+	for name, prepare := range map[string]func(*fixture){
+		"no engine of the version is left": func(s *fixture) { began(s, "v0") },
+		"the origin is not known":          func(*fixture) {},
+	} {
+		t.Run("refused if "+name, func(t *testing.T) {
+			s := newFixture(t)
+			s.announceVersions(t, "v1", "v2", "v3")
+			prepare(s)
+			r := requireRefusal(t, s.Serve(context.Background(), resumingCall("/resumable/"), &fakeSink{}))
+			require.Equal(t, 503, r.Status)
+			require.Equal(t, call.RunNo, r.Run)
+			require.Positive(t, r.RetryAfter)
+		})
+	}
+	t.Run("its own first event is recorded", func(t *testing.T) {
+		s := newFixture(t, sendResult{status: 200, stream: true, body: sampleEvents(1, 2), truncated: true})
+		versions := s.announceVersions(t, "v1", "v2", "v3")
+		require.ErrorIs(t, s.Serve(context.Background(), newCall("/resumable/"), &fakeSink{}), ErrTruncated)
+		o, ok := s.Origins.Find(context.Background(), origin.Key{Customer: "c", Request: "q1"})
+		require.True(t, ok)
+		require.Equal(t, origin.Origin{Service: model, Version: versions[s.up.targets[0].Upstream]}, o)
+	})
+}
