Keep a resumed stream at the service that began it where its route is split

What callers would see: a stream that its caller resumes on a route split between services goes on at another service, since the service was drawn from the id of the new request.

The service is part of the stream's origin now, and the check right before the write uses the same rule.

--- a/internal/models/route/route.go
+++ b/internal/models/route/route.go
@@ -93,6 +93,11 @@
 	return ""
 }
 
+// LeadsTo reports whether calls on r may go to service s.
+func (r *Route) LeadsTo(s id.Service) bool {
+	return slices.ContainsFunc(r.WeightedServices, func(w WeightedService) bool { return w.Service == s && w.Weight > 0 })
+}
+
 // Table looks up routes by host and path. The zero value is empty.
 type Table struct {
 	hosts map[string][]*Route // longest prefix first
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -126,7 +126,16 @@
 	if err := f.admit(c); err != nil {
 		return err
 	}
-	c.service = c.config.Services[c.route.Service(c.ID)]
+	if first {
+		if err := f.findOrigin(ctx, c); err != nil {
+			return err
+		}
+	}
+	s, ok := c.serviceOn(c.route)
+	if !ok {
+		return refuse(http.StatusServiceUnavailable, call.NoService, "the route no longer leads to the service that began the stream").WithRetryAfter(shortRetryAfter)
+	}
+	c.service = c.config.Services[s]
 	c.deadline = c.Start.Add(c.route.Timeout)
 	if c.CallerTimeout > 0 && c.CallerTimeout < c.route.Timeout {
 		c.deadline = c.Start.Add(c.CallerTimeout)
@@ -135,11 +144,6 @@
 		f.logQuarantined(c, wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
 	}
-	if first {
-		if err := f.findOrigin(ctx, c); err != nil {
-			return err
-		}
-	}
 	if !first || c.customer.ID == "" {
 		return nil
 	}
@@ -190,7 +194,10 @@
 		return true
 	}
 	r, ok := cfg.FindRoute(c.Host, c.Path)
-	if !ok || r.Service(c.ID) != c.service.ID || c.customer.ID == "" && !r.AllowAnonymous {
+	if !ok || c.customer.ID == "" && !r.AllowAnonymous {
+		return false
+	}
+	if s, ok := c.serviceOn(r); !ok || s != c.service.ID {
 		return false
 	}
 	k, live := cfg.Keys[c.key]
--- a/internal/services/forward/origin.go
+++ b/internal/services/forward/origin.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"wagtaillift/internal/models/route"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/origin"
@@ -18,6 +19,15 @@
 	return !c.begun || u.Version == c.origin.Version
 }
 
+// serviceOn returns the service of c on route r: the one that began its stream, or else one by weight. It returns false if r does not
+// lead to the service that began the stream.
+func (c *Call) serviceOn(r *route.Route) (id.Service, bool) {
+	if !c.begun {
+		return r.Service(c.ID), true
+	}
+	return c.origin.Service, r.LeadsTo(c.origin.Service)
+}
+
 func (c *Call) originKey(request id.Request) origin.Key {
 	return origin.Key{Customer: c.customer.ID, Request: request}
 }
--- a/internal/services/forward/version_test.go
+++ b/internal/services/forward/version_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/models/route"
+	"wagtaillift/internal/models/service"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
@@ -116,3 +118,37 @@
 		require.Equal(t, origin.Origin{Service: model, Version: versions[s.up.targets[0].Upstream]}, o)
 	})
 }
+
+// A stream that its caller resumes stays at its service where the route is split between services, whose versions are unrelated.
+func TestResumedStreamKeepsItsService(t *testing.T) {
+	const other = "other"
+	split := func(s *fixture, weights ...route.WeightedService) {
+		d := sampleDocument(2)
+		d.Services = append(d.Services, service.Service{ID: other, Kind: service.Model, Model: "m", Engine: d.Services[1].Engine})
+		d.Routes[3].WeightedServices = weights
+		s.replace(t, d)
+		a := newAnnouncement("o1", other, engine.Decode)
+		a.Version = "v1"
+		require.NoError(t, s.Roster.Announce(clock.SinceBoot(), a))
+		s.Origins.Table.Put(clock.SinceBoot(), origin.Key{Customer: "c", Request: "q0"}, origin.Origin{Service: model, Version: "v1"})
+	}
+	for i := range 20 {
+		t.Run(fmt.Sprint("request ", i), func(t *testing.T) {
+			s := newFixture(t, sendResult{status: 200, stream: true, body: sampleEvents(3, 4)})
+			s.announceVersions(t, "v1", "v1")
+			split(s, route.WeightedService{Service: model, Weight: 1}, route.WeightedService{Service: other, Weight: 9})
+			c := resumingCall("/resumable/")
+			c.ID = id.Request(fmt.Sprint("q", i))
+			require.NoError(t, s.Serve(context.Background(), c, &fakeSink{}))
+			require.NotEqual(t, id.Upstream("o1"), s.up.targets[0].Upstream)
+		})
+	}
+	t.Run("refused if the route leads elsewhere now", func(t *testing.T) {
+		s := newFixture(t)
+		s.announceVersions(t, "v1", "v1")
+		split(s, route.WeightedService{Service: model}, route.WeightedService{Service: other, Weight: 9})
+		r := requireRefusal(t, s.Serve(context.Background(), resumingCall("/resumable/"), &fakeSink{}))
+		require.Equal(t, 503, r.Status)
+		require.Equal(t, call.RunNo, r.Run)
+	})
+}
