Emulated engines name their software version in each chunk, and the load tool checks it

The field is system_fingerprint, as in OpenAI-style answers. TestBrokenAnswerKeepsItsVersion checks it too, and fails by it if the exclusion of other versions is taken out.

--- a/internal/routers/vm/version_test.go
+++ b/internal/routers/vm/version_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -26,6 +27,7 @@
 	}
 	f.waitForUpstreams(engines)
 	resumed, answered := 0, 0
+	fingerprints := regexp.MustCompile(`"system_fingerprint":"(v\d)"`)
 	for i := range calls {
 		resp, body := f.callVM(f.vms[0], "POST", "/v1/chat/completions", f.secrets["one"], chatBody(fmt.Sprint("question ", i), tokens, true))
 		if strings.Contains(body, "[DONE]") {
@@ -36,6 +38,9 @@
 		if len(attempts) > 1 {
 			resumed++
 		}
+		for _, n := range fingerprints.FindAllStringSubmatch(body, -1) {
+			require.Equal(t, attempts[0].Version, n[1], "tokens of another version")
+		}
 		for _, a := range attempts {
 			require.Equal(t, attempts[0].Version, a.Version, "%+v", attempts)
 		}
--- a/internal/services/emulate/http.go
+++ b/internal/services/emulate/http.go
@@ -103,7 +103,7 @@
 	if len(e.requestCounts) > maxRequestCounts {
 		clear(e.requestCounts)
 	}
-	ctx, limit := e.ctx, e.faults.Limit
+	ctx, limit, version := e.ctx, e.faults.Limit, e.announced.Version
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
@@ -136,7 +136,7 @@
 	if d.wrongID {
 		answerID = "crossed-" + rid
 	}
-	e.stream(ctx, w, s, &q, stream{request: answerID, prompt: prompt, chat: chat, limit: limit, faultDraw: d})
+	e.stream(ctx, w, s, &q, stream{request: answerID, prompt: prompt, version: version, chat: chat, limit: limit, faultDraw: d})
 }
 
 // newSequence returns the sequence of a request, which starts after the tokens that a resumed request already has.
@@ -156,6 +156,7 @@
 // stream holds what is needed to write one answer as server-sent events.
 type stream struct {
 	request, prompt string
+	version         string // software version of the engine; empty names none
 	chat            bool
 	limit           float64 // named in the answer; 0 for none
 	faultDraw       faultDraw
@@ -202,12 +203,15 @@
 // tokenEvent returns the event of token n.
 func tokenEvent(st stream, n int) string {
 	text, _ := json.Marshal(TokenText(st.prompt, n))
+	object, choice := "text_completion", fmt.Sprintf(`"text":%s`, text)
 	if st.chat {
-		return fmt.Sprintf("id: %s/%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%s}}]}\n\n",
-			st.request, n, st.request, text)
+		object, choice = "chat.completion.chunk", fmt.Sprintf(`"delta":{"content":%s}`, text)
 	}
-	return fmt.Sprintf("id: %s/%d\ndata: {\"id\":%q,\"object\":\"text_completion\",\"choices\":[{\"index\":0,\"text\":%s}]}\n\n",
-		st.request, n, st.request, text)
+	fingerprint := ""
+	if st.version != "" {
+		fingerprint = fmt.Sprintf(`"system_fingerprint":%q,`, st.version)
+	}
+	return fmt.Sprintf("id: %s/%d\ndata: {\"id\":%q,\"object\":%q,%s\"choices\":[{\"index\":0,%s}]}\n\n", st.request, n, st.request, object, fingerprint, choice)
 }
 
 // endEvent returns the last event of an answer, with its token counts.
--- a/internal/services/load/run.go
+++ b/internal/services/load/run.go
@@ -203,12 +203,13 @@
 	o.Code, o.Error = p.Error.Code, p.Error.Message
 }
 
-// readStream reads the server-sent events of an answer and compares its text with want. An answer ends with [DONE] or an
+// readStream reads the server-sent events of an answer and compares its text with want. All chunks must come from one software version. An answer ends with [DONE] or an
 // end or error event.
 func (o *Outcome) readStream(body io.Reader, start time.Time, want string) {
 	sc := bufio.NewScanner(body)
 	var text strings.Builder
-	failed, done := false, false
+	var fingerprint string // of the first chunk
+	failed, done, mixed := false, false, false
 	for sc.Scan() {
 		line := sc.Text()
 		switch {
@@ -219,29 +220,33 @@
 		case failed && strings.HasPrefix(line, "data: "):
 			o.recordError(strings.NewReader(line[len("data: "):]))
 		case strings.HasPrefix(line, "data: "):
-			if t := chunkText(line[len("data: "):]); t != "" {
-				if o.Tokens == 0 {
-					o.FirstToken = time.Since(start)
-				}
-				o.Tokens++
-				text.WriteString(t)
+			t, version := parseChunk(line[len("data: "):])
+			if t == "" {
+				continue
 			}
+			if o.Tokens == 0 {
+				o.FirstToken, fingerprint = time.Since(start), version
+			}
+			o.Tokens++
+			mixed = mixed || version != fingerprint
+			text.WriteString(t)
 		}
 	}
-	o.Correct = done && text.String() == want
+	o.Correct = done && !mixed && text.String() == want
 	o.Wrong = done && !o.Correct
 	o.Truncated = !done && !failed
 }
 
-// chunkText returns the text in the data of a chat completion chunk.
-func chunkText(data string) string {
+// parseChunk returns the text in the data of a chat completion chunk and the software version that generated it.
+func parseChunk(data string) (text, version string) {
 	var c struct {
-		Choices []struct{ Delta struct{ Content string } }
+		Fingerprint string `json:"system_fingerprint"`
+		Choices     []struct{ Delta struct{ Content string } }
 	}
 	if json.Unmarshal([]byte(data), &c) != nil || len(c.Choices) == 0 {
-		return ""
+		return "", ""
 	}
-	return c.Choices[0].Delta.Content
+	return c.Choices[0].Delta.Content, c.Fingerprint
 }
 
 // readBody reads an answer that is not streamed and compares its text with want.
