Open connections to upstreams through one dialer, which counts the results

Both faces and the detector of crashes dial the same way now; connections of the OpenAI-style face get the short keep-alive probes that those of the platform's face had. No other decision changes.

--- a/internal/modules/upstream/client.go
+++ b/internal/modules/upstream/client.go
@@ -18,7 +18,6 @@
 	dialTimeout            = time.Second
 	idleConnTimeout        = 30 * time.Second
 	maxIdlePerHost         = 64
-	tcpUserTimeout         = 2 * time.Second // the kernel closes a connection whose bytes stay unacknowledged this long
 	maxResponseHeaderBytes = 64 << 10
 )
 
@@ -39,12 +38,11 @@
 	return c.Conn.Write(p)
 }
 
-// New returns a client that follows no redirects, uses no proxy and requests no compression.
-func New() *Client {
-	d := &net.Dialer{Timeout: dialTimeout, Control: TCPUserTimeout(tcpUserTimeout)}
+// New returns a client that opens connections with d, follows no redirects, uses no proxy and requests no compression.
+func New(d *Dialer) *Client {
 	t := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			c, err := d.Dial(ctx, address, dialTimeout)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -21,9 +21,7 @@
 	poolDialTimeout   = 400 * time.Millisecond // shorter than the retransmission of a lost SYN, so that another upstream is tried first
 	poolIdleTimeout   = 20 * time.Second       // for upstreams that announce no Keep-Alive timeout
 	idleMargin        = time.Second            // a connection is not reused this shortly before the upstream's idle timeout
-	keepAliveInterval = time.Second            // of TCP keep-alive probes
-	keepAliveProbes   = 2
-	maxInlineWrite    = 8 << 10 // a longer request is written by its own goroutine while the answer is read
+	maxInlineWrite    = 8 << 10                // a longer request is written by its own goroutine while the answer is read
 	readBufferSize    = 4 << 10
 	maxHeadBytes      = 64 << 10 // of everything before the body of the answer: interim answers, answers to earlier requests, the head
 	maxForeignAnswers = 2        // answers to earlier requests that are skipped; one more closes the connection
@@ -41,6 +39,7 @@
 // Pool keeps connections to upstreams. Each connection carries one request at a time. The pool never sends a request
 // twice: it checks before the write whether the upstream has closed an idle connection. The zero value is ready to use.
 type Pool struct {
+	Dialer *Dialer
 	Opened atomic.Int64 // connections opened so far
 
 	mu    sync.Mutex
@@ -142,7 +141,7 @@
 	}
 	if r.Response, err = pc.read(m); err != nil {
 		r.Close()
-		return nil, true, errors.Annotatef(cause(ctx, err), "read from %s", address)
+		return nil, true, errors.Annotatef(cause(ctx, err), "read from %s on a %s connection", address, pc.age())
 	}
 	return r, true, nil
 }
@@ -325,10 +324,7 @@
 
 // dial opens the connection to address that popOrReserve has counted.
 func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
-	d := &net.Dialer{Timeout: poolDialTimeout, Control: TCPUserTimeout(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
-	}}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := p.Dialer.Dial(ctx, address, poolDialTimeout)
 	if err != nil {
 		p.removeConn(address)
 		return nil, err
@@ -340,6 +336,14 @@
 	}, nil
 }
 
+// age tells in errors whether the connection had carried a request before.
+func (pc *pooledConn) age() string {
+	if pc.idleSince.IsZero() {
+		return "new"
+	}
+	return "kept"
+}
+
 // release returns pc to the idle connections.
 func (p *Pool) release(pc *pooledConn) {
 	pc.idleSince = time.Now()
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -44,7 +44,7 @@
 	if v.cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(v.cfg.MemoryMB) * megabyte))
 	}
-	server := &platformServer{pool: &upstream.Pool{}}
+	server := &platformServer{pool: &upstream.Pool{Dialer: &v.dialer}}
 	v.platform = server
 	var emptyUntil time.Duration
 	if !v.cfg.Data.FirstStart {
--- a/internal/routers/vm/quarantine.go
+++ b/internal/routers/vm/quarantine.go
@@ -23,7 +23,7 @@
 	v.quarantineList.Committed = v.authority.State().Suspects
 	v.quarantineList.CommittedCulprits = v.authority.State().Culprits
 	v.sharer = quarantine.NewSharer(v.broadcastSuspects, v.commitSuspects)
-	v.detector = &quarantine.Detector{Roster: v.roster, List: v.quarantineList, Share: v.sharer.Share}
+	v.detector = &quarantine.Detector{Dialer: &v.dialer, Roster: v.roster, List: v.quarantineList, Share: v.sharer.Share}
 	peer.Handle(v.transport, methodSuspects, func(_ context.Context, from id.VM, r suspect.Report) (bool, error) {
 		v.quarantineList.Apply(r)
 		klog.InfoS("Crash reported", "from", from, "upstream", r.Upstream, "incarnation", r.Incarnation, "completed", r.Completed,
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -59,6 +59,7 @@
 	cfg            setting.Config
 	transport      *peer.Transport
 	authority      *authority.Agent
+	dialer         upstream.Dialer
 	roster         *roster.Roster
 	gossip         *roster.Gossip
 	limiter        *limit.Limiter
@@ -278,7 +279,7 @@
 func (v *VM) buildCaller(inc id.Incarnation) {
 	a := v.authority
 	d := &dispatch.Dispatcher{
-		Roster: v.roster, Client: upstream.New(), Quarantine: v.quarantineList, Detector: v.detector, Pace: v.pace,
+		Roster: v.roster, Client: upstream.New(&v.dialer), Quarantine: v.quarantineList, Detector: v.detector, Pace: v.pace,
 		ReserveOnPeers: v.reserveUpstream,
 	}
 	if v.cfg.Route.Policy == "naive" {
--- a/internal/services/dispatch/crashed_test.go
+++ b/internal/services/dispatch/crashed_test.go
@@ -42,7 +42,7 @@
 		}
 		l.Close()
 	}()
-	d := &Dispatcher{Client: upstream.New()}
+	d := &Dispatcher{Client: upstream.New(nil)}
 	require.True(t, d.crashed(announced(t, l.Addr().String())))
 }
 
@@ -55,7 +55,7 @@
 	})}
 	go srv.Serve(l)
 	defer srv.Close()
-	d := &Dispatcher{Client: upstream.New()}
+	d := &Dispatcher{Client: upstream.New(nil)}
 	defer d.Client.CloseIdle()
 	require.False(t, d.crashed(u))
 }
--- a/internal/services/dispatch/plain_test.go
+++ b/internal/services/dispatch/plain_test.go
@@ -181,7 +181,7 @@
 		}))
 	}
 	suspects := &quarantine.List{}
-	b.d = &Dispatcher{Roster: r, Client: upstream.New(), Quarantine: suspects, Detector: &quarantine.Detector{Roster: r, List: suspects}, Pace: &pace.Table{}}
+	b.d = &Dispatcher{Roster: r, Client: upstream.New(nil), Quarantine: suspects, Detector: &quarantine.Detector{Roster: r, List: suspects}, Pace: &pace.Table{}}
 	return b
 }
 
--- a/internal/services/quarantine/detector.go
+++ b/internal/services/quarantine/detector.go
@@ -1,8 +1,8 @@
 package quarantine
 
 import (
+	"context"
 	"maps"
-	"net"
 	"slices"
 	"sync"
 	"syscall"
@@ -15,6 +15,7 @@
 	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -48,6 +49,7 @@
 // Detector finds upstreams that crashed while they ran requests, and records these requests as suspects. A request that ended
 // because its caller left or its time was over is watched like any other, since the upstream may have crashed before.
 type Detector struct {
+	Dialer *upstream.Dialer // nil opens TCP connections
 	Roster *roster.Roster
 	List   *List
 	Share  func(suspect.Report) // gives a report to the other VMs; nil keeps it on this VM
@@ -137,7 +139,7 @@
 
 // connect connects to u and opens its circuit if that fails.
 func (d *Detector) connect(u *roster.Upstream) string {
-	conn, err := net.DialTimeout("tcp", u.Address, probeTimeout)
+	conn, err := d.Dialer.Dial(context.Background(), u.Address, probeTimeout)
 	if err == nil {
 		conn.Close()
 		logCheck(u, probeAccepted)
