--- a/internal/routers/vm/fleet_test.go
+++ b/internal/routers/vm/fleet_test.go
@@ -50,6 +50,7 @@
 	t          testing.TB
 	folder     string
 	vms        []*VM
+	links      []*link // between each VM and the upstreams
 	stops      []func()
 	secrets    map[string]string
 	runCounter *emulate.RunCounter
@@ -163,7 +164,9 @@
 	require.NoError(f.t, cert.NewVM(f.path("ca"), cfg.Peers.Cert, id.VM(cfg.VM), testZone, time.Now(), time.Hour))
 	v, err := New(cfg)
 	require.NoError(f.t, err)
-	f.vms = append(f.vms, v)
+	l := &link{}
+	v.dialer.Direct = l.dial
+	f.vms, f.links = append(f.vms, v), append(f.links, l)
 	f.stops = append(f.stops, f.startVM(v))
 	return v
 }
