Connect to upstreams through another VM where this one does not reach them

Cause: a VM sent requests only over connections of its own. Without these it waited 0.4 s for each dial, up to five times a request, and gave up, although other VMs that it reached did reach the upstreams. Class: a resource of the fleet taken for lost because one member lost its way to it.

Change: the dialer races the direct way against one through another VM, a QUIC stream whose bytes that VM relays unread. Limits, claims, leases, retries and the choice of the upstream stay with the VM that has the caller. A refused connection counts as the crash of an upstream only if other VMs are refused too: in such a cut it would make suspects of all requests that run. A VM that stops waits for the connections that it relays.

Why it works: what must be decided once is still decided once; the other VM only carries bytes, and passes on the end and, as an error, the break of a connection.

Ruled out: failing the readiness check, which moves new connections only and none if most VMs of a data centre fail it; passing on whole requests, whose limits would be decided twice.

--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -70,6 +70,7 @@
 	quic     *quic.Transport
 	listener *quic.Listener
 	handlers map[string]Handler
+	tunnels  map[string]tunnelHandler
 
 	mu          sync.Mutex
 	connections map[string]*connection
@@ -94,7 +95,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for peers on %s", address)
 	}
-	t := &Transport{certs: certs, handlers: map[string]Handler{}, connections: map[string]*connection{}}
+	t := &Transport{certs: certs, handlers: map[string]Handler{}, tunnels: map[string]tunnelHandler{}, connections: map[string]*connection{}}
 	t.quic = &quic.Transport{Conn: conn}
 	t.listener, err = t.quic.Listen(certs.ServerConfig(alpnProtocol), quicConfig())
 	if err != nil {
@@ -169,10 +170,15 @@
 func (t *Transport) serveStream(ctx context.Context, from id.VM, s *quic.Stream) {
 	defer s.Close()
 	var c call
-	if err := t.readMessage(s, &c); err != nil {
+	if _, err := t.readFirst(s, &c); err != nil {
 		s.CancelWrite(codeRejected)
 		return
 	}
+	if open, ok := t.tunnels[c.Method]; ok {
+		t.serveTunnel(ctx, from, s, open, c.Body)
+		return
+	}
+	io.Copy(io.Discard, s) // up to the end of the stream, so that its resources are released
 	var a answer
 	if h, ok := t.handlers[c.Method]; !ok {
 		a.Error = "unknown method " + c.Method
--- a/internal/modules/peer/peer_test.go
+++ b/internal/modules/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"path/filepath"
 	"testing"
 	"time"
@@ -29,7 +30,7 @@
 	return folder
 }
 
-// listen returns a transport that serves an echo method with the certificate in folder.
+// listen returns a transport that serves an echo method, and a method for tunnels to any address, with the certificate in folder.
 func listen(t *testing.T, folder string) *Transport {
 	t.Helper()
 	certs, err := cert.Load(folder)
@@ -42,6 +43,13 @@
 		}
 		return string(from) + ":" + q, nil
 	})
+	HandleTunnel(tr, "open", func(_ context.Context, _ id.VM, to string) (net.Conn, string) {
+		c, err := net.Dial("tcp", to)
+		if err != nil {
+			return nil, err.Error()
+		}
+		return c, "opened"
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go tr.Serve(ctx)
 	t.Cleanup(func() {
--- a/internal/modules/upstream/dialer.go
+++ b/internal/modules/upstream/dialer.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -17,21 +19,104 @@
 	tcpUserTimeout    = 2 * time.Second // the kernel closes a connection whose bytes stay unacknowledged this long
 )
 
-// Dialer opens connections to upstreams. The zero value and nil open TCP connections.
+// relayDelay is how long a direct connection attempt may take before another VM is asked to connect as well. A connection inside a
+// region is open within a few milliseconds.
+const relayDelay = 50 * time.Millisecond
+
+// Dialer opens connections to upstreams, through another VM if this one does not reach them. Both ways race, with a delay for the second
+// one (Happy Eyeballs, RFC 8305). The zero value and nil open direct TCP connections only.
 type Dialer struct {
 	// Direct opens a connection without the help of another VM. Nil opens a TCP connection.
 	Direct func(ctx context.Context, address string) (net.Conn, error)
+	// Relay opens a connection through another VM. Nil if there is none.
+	Relay func(ctx context.Context, address string) (net.Conn, error)
+
+	cutOff atomic.Bool
+}
+
+// dialed is the result of one of the two ways to connect.
+type dialed struct {
+	conn    net.Conn
+	err     error
+	relayed bool
 }
 
-// Dial opens a connection to address within timeout.
+// CutOff reports whether the last connection came about through another VM because the direct way failed.
+func (d *Dialer) CutOff() bool { return d.cutOff.Load() }
+
+// Dial opens a connection to address within timeout. The error is a refusal only if both ways were refused.
 func (d *Dialer) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return d.direct(ctx, address)
+	if d == nil || d.Relay == nil {
+		return d.DialDirect(ctx, address)
+	}
+	return d.race(ctx, address)
+}
+
+// race returns the first connection that one of the ways opens.
+func (d *Dialer) race(ctx context.Context, address string) (net.Conn, error) {
+	results := make(chan dialed, 2)
+	start := func(relayed bool, open func(context.Context, string) (net.Conn, error)) {
+		go func() {
+			conn, err := open(ctx, address)
+			results <- dialed{conn, err, relayed}
+		}()
+	}
+	start(false, d.DialDirect)
+	delay := time.NewTimer(d.delay())
+	defer delay.Stop()
+	pending, relaying := 1, false
+	var directErr, relayErr error
+	for {
+		select {
+		case <-delay.C:
+		case r := <-results:
+			pending--
+			if r.err == nil {
+				d.record(r, address)
+				go closeLate(results, pending)
+				return r.conn, nil
+			}
+			if r.relayed {
+				relayErr = r.err
+			} else {
+				directErr = r.err
+			}
+		}
+		if !relaying && ctx.Err() == nil {
+			relaying = true
+			pending++
+			start(true, d.Relay)
+		}
+		if pending == 0 {
+			return nil, combine(directErr, relayErr)
+		}
+	}
+}
+
+// delay returns how long the relayed way waits for the direct one.
+func (d *Dialer) delay() time.Duration {
+	if d.CutOff() {
+		return 0
+	}
+	return relayDelay
 }
 
-// direct opens a connection without the help of another VM, and counts the result.
-func (d *Dialer) direct(ctx context.Context, address string) (net.Conn, error) {
+// record keeps whether the direct way works.
+func (d *Dialer) record(r dialed, address string) {
+	if d.cutOff.Swap(r.relayed) == r.relayed {
+		return
+	}
+	if r.relayed {
+		klog.InfoS("Upstream reached only through another VM", "address", address)
+	} else {
+		klog.InfoS("Upstream reached directly again", "address", address)
+	}
+}
+
+// DialDirect opens a connection without the help of another VM, and counts the result.
+func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	dial := dialTCP
 	if d != nil && d.Direct != nil {
 		dial = d.Direct
@@ -41,6 +126,30 @@
 	return conn, err
 }
 
+// closeLate closes the connections that come about after another one was chosen.
+func closeLate(results <-chan dialed, pending int) {
+	for range pending {
+		if r := <-results; r.err == nil {
+			r.conn.Close()
+		}
+	}
+}
+
+// errNotReached hides a refusal of the direct way that other VMs did not confirm: the refusal may come from the network.
+const errNotReached = errors.ConstError("the upstream was not reached")
+
+// combine returns the error of a dial of which both ways failed.
+func combine(direct, relayed error) error {
+	unconfirmed := errors.Is(direct, syscall.ECONNREFUSED) && !errors.Is(relayed, syscall.ECONNREFUSED)
+	if unconfirmed && !errors.Is(relayed, ErrNoRelay) {
+		return errors.WithType(errors.Annotate(relayed, "refused directly"), errNotReached)
+	}
+	return direct
+}
+
+// ErrNoRelay means that no other VM could be asked to connect.
+const ErrNoRelay = errors.ConstError("there is no other VM to connect through")
+
 // dialTCP opens a TCP connection that ends soon after the upstream falls silent.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	n := &net.Dialer{Control: TCPUserTimeout(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -249,6 +249,9 @@
 	if b, ok := r.Body.(*body); !ok || !b.ended {
 		return false
 	}
+	if _, ok := r.pooledConn.conn.(syscall.Conn); !ok {
+		return false // a connection through another VM
+	}
 	if r.Response.Close || r.pooledConn.dirty || r.pooledConn.r.Buffered() > 0 {
 		return false
 	}
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -131,18 +131,19 @@
 
 // sharesUpstreams reports whether a member sends requests to the upstreams of this VM.
 func (v *VM) sharesUpstreams(m state.Member) bool {
-	if v.platform != nil && m.Control {
+	if v.cfg.API == apiPlatform && m.Control {
 		return false
 	}
 	return v.cfg.Route.Scope == scopeFleet || m.Zone == v.authority.Zone()
 }
 
-// runningRequests returns the number of caller requests in progress.
+// runningRequests returns the number of requests in progress, of own callers and of other VMs that use a connection of this one.
 func (v *VM) runningRequests() int64 {
+	n := v.tunnels.Relaying()
 	if v.platform != nil {
-		return v.platform.caller.RunningRequests.Load()
+		return n + v.platform.caller.RunningRequests.Load()
 	}
-	return v.caller.RunningRequests.Load()
+	return n + v.caller.RunningRequests.Load()
 }
 
 // runPlatform runs the load exchange, the planners and the cleanup of the platform API until ctx ends. It returns at once if the
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -40,6 +40,7 @@
 	"wagtaillift/internal/services/requestlog"
 	"wagtaillift/internal/services/roster"
 	"wagtaillift/internal/services/route"
+	"wagtaillift/internal/services/tunnel"
 )
 
 // Peer methods, timeouts and limits.
@@ -60,6 +61,7 @@
 	transport      *peer.Transport
 	authority      *authority.Agent
 	dialer         upstream.Dialer
+	tunnels        *tunnel.Service
 	roster         *roster.Roster
 	gossip         *roster.Gossip
 	limiter        *limit.Limiter
@@ -112,6 +114,7 @@
 		return nil, err
 	}
 	v.buildRoster(inc)
+	v.buildTunnels()
 	v.buildUsageMeter(inc)
 	v.buildQuarantine()
 	v.buildLimits()
@@ -176,6 +179,17 @@
 	v.gossip.Register()
 }
 
+// buildTunnels creates the service through which VMs that are cut off from the upstreams connect to them.
+func (v *VM) buildTunnels() {
+	a := v.authority
+	v.tunnels = &tunnel.Service{
+		VM: a.VM(), Zone: a.Zone(), Transport: v.transport, Dialer: &v.dialer, Members: a.State().Members, Entry: v.sharesUpstreams,
+		Known: func(address string) bool { return v.roster.Snapshot().HasAddress(address) }, Stopping: v.stopping.Load,
+	}
+	v.tunnels.Register()
+	v.dialer.Relay = v.tunnels.Open
+}
+
 // buildUsageMeter creates the usage meter, and registers the peer method for copies of usage counts.
 func (v *VM) buildUsageMeter(inc id.Incarnation) {
 	a := v.authority
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -55,6 +55,11 @@
 	return nil, false
 }
 
+// HasAddress reports whether an upstream that accepts new requests has the address.
+func (s *Snapshot) HasAddress(address string) bool {
+	return slices.ContainsFunc(s.All, func(u *Upstream) bool { return u.Address == address })
+}
+
 // Roster is the list of known upstreams. It is safe for concurrent use; Snapshot takes no lock.
 type Roster struct {
 	vm               id.VM
