--- a/internal/routers/vm/cut_test.go
+++ b/internal/routers/vm/cut_test.go
@@ -40,7 +40,10 @@
 	entries []*VM
 	links   []*link
 	runs    sync.Map // how often each request ran, by id
+	crashed sync.Map // names of upstreams that crashed
 	sent    atomic.Int64
+
+	upstreams []*cutUpstream
 }
 
 // cutSubnets are the first two octets of the loopback addresses of each fleet.
@@ -48,8 +51,6 @@
 
 func newCutFleet(t *testing.T) *cutFleet {
 	f := &cutFleet{t: t, subnet: fmt.Sprint("127.", 230+cutSubnets.Add(1))}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
 	f.control = f.startVM(0, nil)
 	for i := range cutEntryVMs {
 		l := &link{}
@@ -57,7 +58,7 @@
 		f.entries = append(f.entries, f.startVM(i+1, l))
 	}
 	for i := range cutUpstreams {
-		f.startUpstream(ctx, i)
+		f.upstreams = append(f.upstreams, f.startUpstream(i))
 	}
 	f.configure()
 	for _, v := range f.entries {
@@ -128,28 +129,60 @@
 	return resp.StatusCode
 }
 
-// startUpstream starts an application or an engine, which announces itself to the control VM.
-func (f *cutFleet) startUpstream(ctx context.Context, i int) {
-	name := fmt.Sprint("i-", i)
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.answer(w, r, name) }))
-	f.t.Cleanup(func() {
-		srv.CloseClientConnections()
-		srv.Close()
-	})
+// cutUpstream is an application or an engine that announces itself to the control VM. After a crash it starts under a new name.
+type cutUpstream struct {
+	fleet       *cutFleet
+	number      int
+	incarnation int
+	name        string
+	srv         *httptest.Server
+	stop        context.CancelFunc
+	silent      sync.RWMutex // held for writing while the process stands still
+}
+
+// startUpstream starts application or engine i.
+func (f *cutFleet) startUpstream(i int) *cutUpstream {
+	u := &cutUpstream{fleet: f, number: i}
+	u.start()
+	f.t.Cleanup(u.crash)
+	return u
+}
+
+func (u *cutUpstream) start() {
+	u.incarnation++
+	name := fmt.Sprintf("i-%d-%d", u.number, u.incarnation)
+	u.name = name
+	u.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.silent.RLock()
+		u.silent.RUnlock()
+		u.fleet.answer(w, r, name)
+	}))
 	service, stage := "plain", ""
-	if i%2 == 1 {
+	if u.number%2 == 1 {
 		service, stage = "model", "decode"
 	}
-	url := "http://" + f.subnet + ".0.1:8229/api/instances/" + name + "/heartbeat"
+	ctx, cancel := context.WithCancel(context.Background())
+	u.stop = cancel
+	url := "http://" + u.fleet.subnet + ".0.1:8229/api/instances/" + name + "/heartbeat"
+	address, zone, born := strings.TrimPrefix(u.srv.URL, "http://"), u.number%2, u.incarnation
 	go func() {
 		for n := 1; ctx.Err() == nil; n++ {
-			f.post(url, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":"v1","slots":8,"state":"ready","stage":%q,"models":[{"name":"m"}],"sequence":%d,"born":1}`,
-				service, strings.TrimPrefix(srv.URL, "http://"), i%2, stage, n))
+			u.fleet.post(url, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","version":"v1","slots":8,"state":"ready","stage":%q,"models":[{"name":"m"}],"sequence":%d,"born":%d}`,
+				service, address, zone, stage, n, born))
 			time.Sleep(heartbeatPeriod)
 		}
 	}()
 }
 
+// crash stops the upstream without notice.
+func (u *cutUpstream) crash() {
+	u.fleet.crashed.Store(u.name, true)
+	u.stop()
+	u.srv.Listener.Close()
+	u.srv.CloseClientConnections()
+	u.srv.Close()
+}
+
 // answer runs a request as upstreams of the platform do.
 func (f *cutFleet) answer(w http.ResponseWriter, r *http.Request, name string) {
 	io.Copy(io.Discard, r.Body)
@@ -192,16 +225,7 @@
 	defer client.CloseIdleConnections()
 	for range count {
 		id := fmt.Sprintf("%s-%d", kind, f.sent.Add(1))
-		r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s.0.%d:8221/%s/", f.subnet, i+2, kind), strings.NewReader("body"))
-		require.NoError(f.t, err)
-		r.Host = "h"
-		r.Header.Set("X-Request-Id", id)
-		r.Header.Set("X-Deadline-Ms", "1000")
-		if kind == "stream" {
-			r.Header.Set("X-Token-Usage", "10,10")
-			r.Header.Set("X-Prefix-Hash", "ab:5,cd:5")
-		}
-		if resp, err := client.Do(r); err == nil {
+		if resp, err := client.Do(f.newRequest(i, kind, id)); err == nil {
 			_, err := io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
 			if err == nil && resp.StatusCode == http.StatusOK {
@@ -213,6 +237,20 @@
 	return served
 }
 
+// newRequest returns a request of a kind to entry VM i.
+func (f *cutFleet) newRequest(i int, kind, id string) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s.0.%d:8221/%s/", f.subnet, i+2, kind), strings.NewReader("body"))
+	require.NoError(f.t, err)
+	r.Host = "h"
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "1000")
+	if kind == "stream" {
+		r.Header.Set("X-Token-Usage", "10,10")
+		r.Header.Set("X-Prefix-Hash", "ab:5,cd:5")
+	}
+	return r
+}
+
 // sendAll sends requests to all entry VMs at once and returns how many of each were served.
 func (f *cutFleet) sendAll(count int) []int {
 	served := make([]int, cutEntryVMs)
