Refuse a part sooner whose crashes show only as silence

Cause: rounds compare the begin of a run with the time at which the crash before it was noticed, which is late, and moments of silence count only 2 s apart, since upstreams that end together are noticed at different moments. So four crashes in 2.4 s counted as two.

Change: four crashes also count if both the times at which they were noticed and the times at which their runs began show three moments 0.5 s apart. Upstreams that end together fail the second test, as their runs are mostly younger.

--- a/internal/models/suspect/part.go
+++ b/internal/models/suspect/part.go
@@ -18,6 +18,8 @@
 	minMoments       = 4
 	momentGap        = 200 * time.Millisecond // between the crashes of two moments
 	silentGap        = 2 * time.Second        // the same if silence alone shows a crash
+	apartGap         = 500 * time.Millisecond // the same if the runs that ended also began so far apart
+	minApartCrashes  = 4                      // with minPartRounds moments that are apart in both ways
 )
 
 const (
@@ -31,15 +33,30 @@
 		return false
 	}
 	rounds := max(r.rounds(), r.moments(silentGap))
-	return rounds >= minPartRounds || rounds >= minCrowdedRounds && r.moments(momentGap) >= minMoments
+	switch {
+	case rounds >= minPartRounds, rounds >= minCrowdedRounds && r.moments(momentGap) >= minMoments:
+		return true
+	}
+	return len(r) >= minApartCrashes && min(r.moments(apartGap), r.starts(apartGap)) >= minPartRounds
+}
+
+// moments returns the number of crashes that were noticed at least gap apart.
+func (r Record) moments(gap time.Duration) int {
+	return countApart(r, gap, func(c Crash) Millis { return c.At })
 }
 
-// moments returns the number of crashes that are at least gap apart.
-func (r Record) moments(gap time.Duration) (n int) {
+// starts returns the number of crashes whose runs began at least gap apart. Runs on upstreams that end together are mostly younger than
+// the time by which their silence is noticed at different moments.
+func (r Record) starts(gap time.Duration) int {
+	return countApart(r, gap, func(c Crash) Millis { return c.Began })
+}
+
+// countApart returns the number of crashes whose times are at least gap apart.
+func countApart(r Record, gap time.Duration, at func(Crash) Millis) (n int) {
 	var last Millis
-	for _, c := range r {
-		if n == 0 || c.At.Sub(last) >= gap {
-			n, last = n+1, c.At
+	for _, c := range slices.SortedFunc(slices.Values(r), func(a, b Crash) int { return cmp.Compare(at(a), at(b)) }) {
+		if n == 0 || at(c).Sub(last) >= gap {
+			n, last = n+1, at(c)
 		}
 	}
 	return n
--- a/internal/models/suspect/part_test.go
+++ b/internal/models/suspect/part_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/modules/id"
@@ -113,6 +114,7 @@
 	interval int         // milliseconds between requests with it
 
 	noticedAfter int // milliseconds from a crash to its report
+	noticeSpread int // up to so many milliseconds more
 
 	table    Table
 	running  [9][]Run // by engine
@@ -233,6 +235,9 @@
 		}
 	}
 	at := now + l.noticedAfter
+	if l.noticeSpread > 0 {
+		at += l.rnd.IntN(l.noticeSpread)
+	}
 	l.reports[at] = append(l.reports[at], Report{Upstream: id.Upstream(fmt.Sprint("u", e)), Incarnation: l.lives[e], At: Millis(at), Runs: l.running[e]})
 	l.running[e], l.startsAt[e] = nil, now+restartMillis
 	l.lives[e]++
@@ -253,14 +258,14 @@
 // Requests with a crashing part come at different rates into traffic that shares the other parts, while engines crash for other reasons.
 func TestPartLoad(t *testing.T) {
 	const seeds = 40
-	for name, c := range map[string]struct{ interval, noticedAfter int }{
-		"none": {0, 2}, "10 a second": {100, 2}, "1.4 a second": {700, 2}, "one in 4 s": {4000, 2},
-		"none, silent": {0, 4000},
+	for name, c := range map[string]struct{ interval, noticedAfter, noticeSpread int }{
+		"none": {0, 2, 0}, "10 a second": {100, 2, 0}, "1.4 a second": {700, 2, 0}, "one in 4 s": {4000, 2, 0},
+		"none, silent": {0, 4000, 0}, "none, silent, noticed at different moments": {0, 3000, 1500},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sound, refused := 0, 0
 			for seed := range uint64(seeds) {
-				l := &partLoad{rnd: rand.New(rand.NewPCG(seed, 1)), interval: c.interval, noticedAfter: c.noticedAfter}
+				l := &partLoad{rnd: rand.New(rand.NewPCG(seed, 1)), interval: c.interval, noticedAfter: c.noticedAfter, noticeSpread: c.noticeSpread}
 				if c.interval > 0 {
 					l.guilty = 100 + Fingerprint(seed%loadSecondParts) + loadSecondParts*Fingerprint(seed%2)
 				}
@@ -284,3 +289,15 @@
 		})
 	}
 }
+
+// The same for more seeds.
+func TestSilentPartLoadSeeds(t *testing.T) {
+	const seeds = 40
+	for _, interval := range []int{700, 2000, 4000} {
+		for seed := range uint64(seeds) {
+			l := &partLoad{rnd: rand.New(rand.NewPCG(seed, 1)), interval: interval, noticedAfter: 4000, guilty: 100}
+			l.play(t)
+			assert.LessOrEqual(t, l.late, 3, "seed %d, one each %d ms: %d crashes", seed, interval, l.crashes)
+		}
+	}
+}
