Ask an engine for its incarnation before it continues a stream

What callers could see: an engine that started again under its name with another version, unknown to the VM until its next heartbeat, continues a stream of the version before.

Evidence: TestRestartedEngineDoesNotContinueStreams fails without the check.

Left: the origin of a stream that begins at such an engine within that time names the version before.

--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -214,6 +214,9 @@
 	start := time.Now()
 	t := f.newTarget(c, sel)
 	t.PromptSource = source
+	if err := f.checkIncarnation(ctx, c, sel, t); err != nil {
+		return f.attemptFailed(ctx, c, sel, p, false, err)
+	}
 	a, sent, err := f.UpstreamClient.Send(ctx, t, c)
 	if err != nil {
 		return f.attemptFailed(ctx, c, sel, p, sent, err)
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -95,6 +95,8 @@
 	// Read has an engine process the prompt without generating, and returns the location of the result. If NotRun is set in
 	// the result, the engine refused the prompt.
 	Read(ctx context.Context, t Target, c *Call) (p *PrefillResult, sent bool, err error)
+	// Incarnation asks an engine for its incarnation; zero if it does not name one.
+	Incarnation(ctx context.Context, t Target) (uint64, error)
 }
 
 // PrefillResult is a processed prompt.
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -110,6 +110,8 @@
 	reads   []Target
 	written int // sends that Target.Allow permitted
 	read    sendResult
+
+	incarnations map[id.Upstream]uint64 // that engines report; zero for none
 }
 
 func (u *fakeUpstreams) Send(ctx context.Context, t Target, c *Call) (*Answer, bool, error) {
@@ -140,6 +142,10 @@
 	return a, true, nil
 }
 
+func (u *fakeUpstreams) Incarnation(_ context.Context, t Target) (uint64, error) {
+	return u.incarnations[t.Upstream], nil
+}
+
 func (u *fakeUpstreams) Read(_ context.Context, t Target, _ *Call) (*PrefillResult, bool, error) {
 	u.reads = append(u.reads, t)
 	if u.read.fail {
--- a/internal/services/forward/origin.go
+++ b/internal/services/forward/origin.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/route"
@@ -42,6 +44,24 @@
 	f.Origins.Record(c.originKey(c.ID), c.origin)
 }
 
+// incarnationTimeout bounds the question to an engine that is to continue a stream. Engines answer it without a slot.
+const incarnationTimeout = 200 * time.Millisecond
+
+// checkIncarnation returns an error if c has begun and the engine of sel does not confirm that it is the process whose version was announced.
+// An engine may have started again under its name, with another version, since its last heartbeat.
+func (f *Forwarder) checkIncarnation(ctx context.Context, c *Call, sel *selection, t Target) error {
+	if !c.begun {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	n, err := f.UpstreamClient.Incarnation(ctx, t)
+	if err == nil && n != 0 && n != sel.u.Incarnation {
+		err = errors.Errorf("incarnation %d in place of %d", n, sel.u.Incarnation)
+	}
+	return errors.Annotatef(err, "check %s before it continues a stream", sel.u.Name)
+}
+
 // findOrigin finds where the stream that c resumes began. Without it c is refused, since the wrong version would corrupt the stream.
 func (f *Forwarder) findOrigin(ctx context.Context, c *Call) error {
 	if c.LastEventID == "" || !c.route.Resumable {
--- a/internal/services/forward/version_test.go
+++ b/internal/services/forward/version_test.go
@@ -152,3 +152,32 @@
 		require.Equal(t, call.RunNo, r.Run)
 	})
 }
+
+// An engine that has started again under its name, with a version that is not announced yet, does not continue streams.
+func TestRestartedEngineDoesNotContinueStreams(t *testing.T) {
+	broken := sendResult{status: 200, stream: true, body: sampleEvents(1, 2), truncated: true}
+	rest := sendResult{status: 200, stream: true, body: sampleEvents(3, 4)}
+	t.Run("within an answer", func(t *testing.T) {
+		s := newFixture(t, broken, rest)
+		s.announceVersions(t, "v1", "v1", "v1", "v1")
+		s.up.incarnations = map[id.Upstream]uint64{"e1": 2, "e2": 3, "e3": 3, "e4": 3}
+		out := &fakeSink{}
+		err := s.Serve(context.Background(), newCall("/resumable/"), out)
+		if last := s.up.targets[len(s.up.targets)-1].Upstream; len(s.up.targets) == 2 {
+			require.NoError(t, err)
+			require.Equal(t, id.Upstream("e1"), last)
+		} else {
+			require.ErrorIs(t, err, ErrTruncated)
+			require.Equal(t, id.Upstream("e1"), last, "the stream had begun at the only engine that could continue it")
+		}
+	})
+	t.Run("over a caller's tries", func(t *testing.T) {
+		s := newFixture(t)
+		s.announceVersions(t, "v1", "v1")
+		s.up.incarnations = map[id.Upstream]uint64{"e1": 3, "e2": 3}
+		s.Origins.Table.Put(clock.SinceBoot(), origin.Key{Customer: "c", Request: "q0"}, origin.Origin{Service: model, Version: "v1"})
+		r := requireRefusal(t, s.Serve(context.Background(), resumingCall("/resumable/"), &fakeSink{}))
+		require.Equal(t, call.RunNo, r.Run)
+		require.Empty(t, s.up.targets)
+	})
+}
