--- a/internal/modules/peer/tunnel.go
+++ b/internal/modules/peer/tunnel.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// OpenTunnel calls method at address. If the called VM opened a connection, conn carries its bytes; otherwise conn is still usable to no
-// end and must be closed.
+// OpenTunnel calls method at address and returns its answer. If the called VM opened a connection, conn carries its bytes. Conn must be
+// closed in either case.
 func OpenTunnel[A, Q any](ctx context.Context, t *Transport, address, method string, q Q) (conn net.Conn, a A, err error) {
 	body, err := cbor.Marshal(q)
 	if err != nil {
--- a/internal/modules/upstream/dialer.go
+++ b/internal/modules/upstream/dialer.go
@@ -54,7 +54,7 @@
 	return d.race(ctx, address)
 }
 
-// race returns the first connection that one of the ways opens.
+// race returns the first connection that one of the ways opens. The relayed way starts after a delay, or when the direct one fails.
 func (d *Dialer) race(ctx context.Context, address string) (net.Conn, error) {
 	results := make(chan dialed, 2)
 	start := func(relayed bool, open func(context.Context, string) (net.Conn, error)) {
@@ -64,34 +64,37 @@
 		}()
 	}
 	start(false, d.DialDirect)
-	delay := time.NewTimer(d.delay())
-	defer delay.Stop()
-	pending, relaying := 1, false
-	var directErr, relayErr error
-	for {
-		select {
-		case <-delay.C:
-		case r := <-results:
-			pending--
-			if r.err == nil {
-				d.record(r, address)
-				go closeLate(results, pending)
-				return r.conn, nil
-			}
-			if r.relayed {
-				relayErr = r.err
-			} else {
-				directErr = r.err
-			}
-		}
-		if !relaying && ctx.Err() == nil {
-			relaying = true
-			pending++
-			start(true, d.Relay)
-		}
-		if pending == 0 {
-			return nil, combine(directErr, relayErr)
-		}
+	first, ended := awaitDirect(results, d.delay())
+	if ended && first.err == nil {
+		return d.finish(first, address)
+	}
+	start(true, d.Relay)
+	if !ended {
+		first = <-results
+	}
+	if first.err == nil {
+		go closeLate(results)
+		return d.finish(first, address)
+	}
+	second := <-results
+	if second.err == nil {
+		return d.finish(second, address)
+	}
+	if first.relayed {
+		first, second = second, first
+	}
+	return nil, combine(first.err, second.err)
+}
+
+// awaitDirect waits for the result of the direct way for at most delay.
+func awaitDirect(results <-chan dialed, delay time.Duration) (r dialed, ended bool) {
+	timeout := time.NewTimer(delay)
+	defer timeout.Stop()
+	select {
+	case r = <-results:
+		return r, true
+	case <-timeout.C:
+		return r, false
 	}
 }
 
@@ -103,11 +106,15 @@
 	return relayDelay
 }
 
-// record keeps whether the direct way works.
-func (d *Dialer) record(r dialed, address string) {
-	if d.cutOff.Swap(r.relayed) == r.relayed {
-		return
+// finish returns the result of a dial, and keeps whether the direct way works.
+func (d *Dialer) finish(r dialed, address string) (net.Conn, error) {
+	if r.err == nil && d.cutOff.Swap(r.relayed) != r.relayed {
+		logChange(r, address)
 	}
+	return r.conn, r.err
+}
+
+func logChange(r dialed, address string) {
 	if r.relayed {
 		klog.InfoS("Upstream reached only through another VM", "address", address)
 	} else {
@@ -126,12 +133,10 @@
 	return conn, err
 }
 
-// closeLate closes the connections that come about after another one was chosen.
-func closeLate(results <-chan dialed, pending int) {
-	for range pending {
-		if r := <-results; r.err == nil {
-			r.conn.Close()
-		}
+// closeLate closes the connection that comes about after another one was chosen.
+func closeLate(results <-chan dialed) {
+	if r := <-results; r.err == nil {
+		r.conn.Close()
 	}
 }
 
--- a/internal/modules/upstream/dialer_test.go
+++ b/internal/modules/upstream/dialer_test.go
@@ -87,6 +87,6 @@
 	_, err := d.Dial(context.Background(), "address", time.Second)
 	require.NoError(t, err)
 	require.Zero(t, d.delay())
-	d.record(dialed{}, "address")
+	d.finish(dialed{}, "address")
 	require.Equal(t, relayDelay, d.delay())
 }
--- a/internal/routers/vm/cut_test.go
+++ b/internal/routers/vm/cut_test.go
@@ -154,7 +154,7 @@
 	u.name = name
 	u.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.silent.RLock()
-		u.silent.RUnlock()
+		defer u.silent.RUnlock()
 		u.fleet.answer(w, r, name)
 	}))
 	service, stage := "plain", ""
--- a/internal/services/tunnel/tunnel.go
+++ b/internal/services/tunnel/tunnel.go
@@ -41,10 +41,8 @@
 	noAnswer  result = "no answer" // the VM did not answer
 )
 
-// Errors of Open.
-const (
-	errFailed = errors.ConstError("no other VM reached the upstream")
-)
+// errFailed means that no VM that was asked has connected.
+const errFailed = errors.ConstError("no other VM reached the upstream")
 
 // reply is the answer to a VM that asks for a connection.
 type reply struct {
@@ -136,35 +134,61 @@
 	if len(list) == 0 {
 		return nil, upstream.ErrNoRelay
 	}
-	answers := make(chan opened, len(list))
+	n := &search{answers: make(chan opened, len(list))}
+	n.ask = func(vm id.VM) opened { return s.ask(ctx, members[vm], address) }
+	defer func() { go n.closeLate() }()
+	return s.search(ctx, n, list, address)
+}
+
+// search asks the VMs of list until one of them has connected to address.
+func (s *Service) search(ctx context.Context, n *search, list []id.VM, address string) (net.Conn, error) {
 	next := time.NewTimer(0)
 	defer next.Stop()
-	asked, pending, refusals := 0, 0, 0
+	asked := 0
 	for {
 		select {
 		case <-ctx.Done():
-			go closeLate(answers, pending)
 			return nil, errors.Annotatef(ctx.Err(), "connect to %s through other VMs", address)
 		case <-next.C:
-		case a := <-answers:
-			pending--
+		case a := <-n.answers:
+			n.pending--
 			s.record(a)
 			if a.result == connected {
-				go closeLate(answers, pending)
 				return a.conn, nil
 			}
 			if a.result == refused {
-				refusals++
+				n.refusals++
 			}
 		}
 		if asked < len(list) {
-			vm := list[asked]
+			n.start(list[asked])
 			asked++
-			pending++
-			go func() { answers <- s.ask(ctx, members[vm], address) }()
 			next.Reset(stagger)
-		} else if pending == 0 {
-			return nil, failure(address, len(list), refusals)
+		} else if n.pending == 0 {
+			return nil, failure(address, len(list), n.refusals)
+		}
+	}
+}
+
+// search is the state of an attempt to connect through other VMs.
+type search struct {
+	ask      func(id.VM) opened
+	answers  chan opened
+	pending  int // VMs that have not answered yet
+	refusals int
+}
+
+// start asks vm.
+func (n *search) start(vm id.VM) {
+	n.pending++
+	go func() { n.answers <- n.ask(vm) }()
+}
+
+// closeLate closes the connections that come about after the end of the search.
+func (n *search) closeLate() {
+	for range n.pending {
+		if a := <-n.answers; a.conn != nil {
+			a.conn.Close()
 		}
 	}
 }
@@ -200,12 +224,3 @@
 	}
 	return opened{vm: m.VM, conn: conn, result: r.Result}
 }
-
-// closeLate closes the connections that come about after another one was chosen.
-func closeLate(answers <-chan opened, pending int) {
-	for range pending {
-		if a := <-answers; a.conn != nil {
-			a.conn.Close()
-		}
-	}
-}
