--- a/internal/routers/vm/cut_test.go
+++ b/internal/routers/vm/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -46,11 +47,15 @@
 	upstreams []*cutUpstream
 }
 
-// cutSubnets are the first two octets of the loopback addresses of each fleet.
-var cutSubnets atomic.Int32
+// cutNet is the second octet of the loopback addresses of the fleets, so that two processes can run them at once; cutSubnets numbers the
+// fleets of this process by the third.
+var (
+	cutNet     = flag.Int("cutnet", 230, "second octet of the loopback addresses of fleets that are cut off")
+	cutSubnets atomic.Int32
+)
 
 func newCutFleet(t *testing.T) *cutFleet {
-	f := &cutFleet{t: t, subnet: fmt.Sprint("127.", 230+cutSubnets.Add(1))}
+	f := &cutFleet{t: t, subnet: fmt.Sprintf("127.%d.%d", *cutNet, cutSubnets.Add(1))}
 	f.control = f.startVM(0, nil)
 	for i := range cutEntryVMs {
 		l := &link{}
@@ -75,10 +80,10 @@
 // startVM starts the control VM (0) or an entry VM.
 func (f *cutFleet) startVM(i int, l *link) *VM {
 	cfg := setting.Default()
-	ip := fmt.Sprintf("%s.0.%d", f.subnet, i+1)
+	ip := fmt.Sprintf("%s.%d", f.subnet, i+1)
 	cfg.VM, cfg.Zone, cfg.API = fmt.Sprint("vm", i), fmt.Sprint("z", i%2), apiPlatform
 	cfg.Listen = setting.Listen{Peer: ip + ":7600"}
-	cfg.Peers = setting.Peers{Seeds: []string{f.subnet + ".0.1:8229"}, Port: 7600, Trust: "network", Advertise: ip + ":7600"}
+	cfg.Peers = setting.Peers{Seeds: []string{f.subnet + ".1:8229"}, Port: 7600, Trust: "network", Advertise: ip + ":7600"}
 	cfg.Route.Scope = scopeFleet
 	cfg.Route.Retries.Ratio, cfg.Route.Retries.Burst = 0.2, 60
 	if l == nil {
@@ -115,7 +120,7 @@
 		`"kv_bytes":1000,"link_mbps":1000000,"models":[{"name":"m"}]}}]}`,
 		r("safe", "safe", "plain", 2, false), r("unsafe", "unsafe", "plain", 1, false), r("stream", "streaming", "model", 2, true))
 	f.waitUntil("the configuration is in force", func() bool {
-		return f.post("http://"+f.subnet+".0.1:8229/api/config/replace", text) == http.StatusOK
+		return f.post("http://"+f.subnet+".1:8229/api/config/replace", text) == http.StatusOK
 	})
 }
 
@@ -163,7 +168,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	u.stop = cancel
-	url := "http://" + u.fleet.subnet + ".0.1:8229/api/instances/" + name + "/heartbeat"
+	url := "http://" + u.fleet.subnet + ".1:8229/api/instances/" + name + "/heartbeat"
 	address, zone, born := strings.TrimPrefix(u.srv.URL, "http://"), u.number%2, u.incarnation
 	go func() {
 		for n := 1; ctx.Err() == nil; n++ {
@@ -239,7 +244,7 @@
 
 // newRequest returns a request of a kind to entry VM i.
 func (f *cutFleet) newRequest(i int, kind, id string) *http.Request {
-	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s.0.%d:8221/%s/", f.subnet, i+2, kind), strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s.%d:8221/%s/", f.subnet, i+2, kind), strings.NewReader("body"))
 	require.NoError(f.t, err)
 	r.Host = "h"
 	r.Header.Set("X-Request-Id", id)
