Test: cuts begin while requests run, and no VM may find an upstream crashed in one

TestVMsWithoutUpstreamsServe passed with the other VMs' confirmation of a refused connection taken out: its cuts began between requests, and completed runs clear the records that it looked at. Now it fails without it, in both cuts in which connections are reset and refused.

--- a/internal/routers/vm/cut_test.go
+++ b/internal/routers/vm/cut_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/modules/setting"
@@ -40,11 +41,13 @@
 	control *VM
 	entries []*VM
 	links   []*link
-	runs    sync.Map // how often each request ran, by id
-	crashed sync.Map // names of upstreams that crashed
+	running atomic.Int64 // requests that run at upstreams
+	runs    sync.Map     // how often each request ran, by id
+	crashed sync.Map     // names of upstreams that crashed
 	sent    atomic.Int64
 
-	upstreams []*cutUpstream
+	upstreams     []*cutUpstream
+	refusedBefore uint64 // refusedChecks when the fleet started
 }
 
 // cutNet is the second octet of the loopback addresses of the fleets, so that two processes can run them at once; cutSubnets numbers the
@@ -56,6 +59,7 @@
 
 func newCutFleet(t *testing.T) *cutFleet {
 	f := &cutFleet{t: t, subnet: fmt.Sprintf("127.%d.%d", *cutNet, cutSubnets.Add(1))}
+	f.refusedBefore = refusedChecks.Get()
 	f.control = f.startVM(0, nil)
 	for i := range cutEntryVMs {
 		l := &link{}
@@ -74,7 +78,7 @@
 
 func (f *cutFleet) waitUntil(condition string, ok func() bool) {
 	f.t.Helper()
-	require.Eventually(f.t, ok, waitTimeout, pollInterval, condition)
+	require.Eventually(f.t, ok, waitTimeout, time.Millisecond, condition)
 }
 
 // startVM starts the control VM (0) or an entry VM.
@@ -190,6 +194,8 @@
 
 // answer runs a request as upstreams of the platform do.
 func (f *cutFleet) answer(w http.ResponseWriter, r *http.Request, name string) {
+	f.running.Add(1)
+	defer f.running.Add(-1)
 	io.Copy(io.Discard, r.Body)
 	id := r.Header.Get("X-Request-Id")
 	n, _ := f.runs.LoadOrStore(id, new(atomic.Int32))
@@ -271,9 +277,13 @@
 	return served
 }
 
-// requireSafe requires that no request that may run once at most ran twice, and that no VM knows a crash.
+// refusedChecks counts the checks by which a VM of this process found an upstream crashed, as its connections were refused.
+var refusedChecks = metrics.GetOrCreateCounter(`wagtaillift_crash_checks_total{result="refused"}`)
+
+// requireSafe requires that no request that may run once at most ran twice, and that no VM found a crash.
 func (f *cutFleet) requireSafe() {
 	f.t.Helper()
+	require.Equal(f.t, f.refusedBefore, refusedChecks.Get(), "an upstream was found crashed, but none crashed")
 	f.runs.Range(func(id, n any) bool {
 		if strings.HasPrefix(id.(string), "unsafe") {
 			require.LessOrEqual(f.t, n.(*atomic.Int32).Load(), int32(1), id)
@@ -294,14 +304,15 @@
 			t.Run(fmt.Sprintf("%s, %d of %d VMs", kind, cut, cutEntryVMs), func(t *testing.T) {
 				f.t = t
 				before := f.sendAll(cutRequests)
-				for i := range cut {
-					f.links[i].cut(kind)
-				}
 				busy := make(chan struct{})
 				go func() {
 					f.sendAll(cutRequests)
 					close(busy)
 				}()
+				f.waitUntil("requests are running", func() bool { return f.running.Load() >= cutEntryVMs })
+				for i := range cut {
+					f.links[i].cut(kind)
+				}
 				time.Sleep(contactTime)
 				served := f.sendAll(cutRequests)
 				<-busy
