Do not keep the error of a dial whose caller has gone

What callers would see: a stream resumed at a VM is refused, as the VMs that know its origin seem out of reach; a call of the control plane fails in the same way.

Cause: a dial that ends with the context of the call which began it left its error for all calls to that VM, for 200 ms. Such a call ends early where several VMs are asked at once and the first answer is enough, as for the origins of streams and for tunnels. Class: one caller's end taken for the state of what it called.

--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -291,9 +291,12 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "resolve")
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := t.quic.Dial(ctx, udp, t.certs.ClientConfig(alpnProtocol, ""), quicConfig())
+	conn, err := t.quic.Dial(dialCtx, udp, t.certs.ClientConfig(alpnProtocol, ""), quicConfig())
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return nil, errors.Annotate(err, "dial") // tells nothing about the peer
+	}
 	pc.conn, pc.err, pc.lastDial = conn, err, time.Now()
 	if err != nil {
 		return nil, errors.Annotate(err, "dial")
--- a/internal/modules/peer/peer_test.go
+++ b/internal/modules/peer/peer_test.go
@@ -117,3 +117,16 @@
 	require.NoError(t, err)
 	require.Equal(t, "vm2:hi", got)
 }
+
+// A call whose caller has gone must not fail the calls of others to the same VM.
+func TestCancelledCallDoesNotFailOthers(t *testing.T) {
+	ca := newCA(t, "fleet")
+	a, b := listen(t, vmCert(t, ca, "vm1", time.Now())), listen(t, vmCert(t, ca, "vm2", time.Now()))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := Call[string](ctx, a, b.Address(), "echo", "gone")
+	require.Error(t, err)
+	got, err := echo(a, b, "hi")
+	require.NoError(t, err)
+	require.Equal(t, "vm1:hi", got)
+}
