--- a/internal/routers/vm/cut_test.go
+++ b/internal/routers/vm/cut_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,7 +54,7 @@
 // cutNet is the second octet of the loopback addresses of the fleets, so that two processes can run them at once; cutSubnets numbers the
 // fleets of this process by the third.
 var (
-	cutNet     = flag.Int("cutnet", 230, "second octet of the loopback addresses of fleets that are cut off")
+	cutNet     = flag.Int("cutnet", 230+os.Getpid()%20, "second octet of the loopback addresses of fleets that are cut off")
 	cutSubnets atomic.Int32
 )
 
