Keep duties single on platforms that check no fencing numbers

Cause, three parts. (1) A holder wrote up to 1.5 s before the end of its lease while the kernel tries to deliver for 1.5 s: nothing was left for the way from the check to the socket. (2) A VM that was told of a higher fencing number released its lease at once, so that another VM acted while its other call was still under way. (3) Only the planner, not Order, held a new holder back. Besides, with lease.duty of 1 s or 1.5 s (the platform's bound is used) no call was ever allowed.

Now the kernel gives a call up after 1 s, 0.5 s are kept for the write, a fenced holder lets its lease run out, every order passes the wait, and lease.duty counts as 3 s at least. A VM that stops as planned hands its leases over once nothing of it can arrive: 1.8 s without a holder instead of 3 s.

Ruled out: the clock of leases (CLOCK_BOOTTIME already), delayed answers with earlier grants, late renewals, expiry by a thawed leader.

The tests of orders place a new holder's wait in the past instead of sending at once.

--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -444,11 +444,14 @@
 	return err
 }
 
-// drain fails the health check, refuses new requests after RefuseDelay, waits up to DrainTimeout for the running ones, and then
+// drain fails the health check, hands the exclusive leases over, refuses new requests after RefuseDelay, waits up to DrainTimeout for the running ones, and then
 // commits the remaining usage and leaves the fleet.
 func (v *VM) drain() {
 	v.unhealthy.Store(true)
 	klog.InfoS("VM stopping", "vm", v.cfg.VM, "running", v.runningRequests())
+	stopped, cancelHandOver := context.WithCancel(context.Background())
+	defer cancelHandOver()
+	go v.orders.HandOver(stopped)
 	v.servers[endpointCaller].SetKeepAlivesEnabled(false) // so that callers send their next request to another VM
 	time.Sleep(v.cfg.Shutdown.RefuseDelay)
 	v.stopping.Store(true)
--- a/internal/services/order/platform.go
+++ b/internal/services/order/platform.go
@@ -9,7 +9,6 @@
 
 	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/state"
-	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 )
 
@@ -23,7 +22,7 @@
 
 // sealWindows seals the windows that have ended, after which their usage no longer changes.
 func (s *Service) sealWindows(ctx context.Context, h HeldLease) {
-	ended := id.WindowAt(s.opt.Now(clock.SinceBoot()).Add(-s.opt.SealDelay), s.opt.Window) - 1
+	ended := id.WindowAt(s.opt.Now(s.now()).Add(-s.opt.SealDelay), s.opt.Window) - 1
 	next := ended
 	if list := s.opt.ControlPlane.State().UsageReports(); len(list) > 0 {
 		next = max(list[len(list)-1].Window+1, ended-min(ended, maxSealsPerRun))
@@ -47,7 +46,7 @@
 		}
 		err := s.opt.PlatformClient.Report(ctx, s.opt.ControlPlane.VM(), h.Fence, w, s.platformCheck(h))
 		if errors.Is(err, ErrFenced) {
-			s.releaseFenced(ctx, h)
+			s.giveUp(h)
 			return
 		}
 		if err != nil {
@@ -63,32 +62,24 @@
 
 // platformCheck returns a function that reports whether a call to the platform may still be written under lease h.
 func (s *Service) platformCheck(h HeldLease) func() bool {
-	return func() bool {
-		now := clock.SinceBoot()
-		held, ok := s.Held(now, lease.Platform)
-		return ok && held.Fence == h.Fence && held.Until > now+minLeaseForCall
-	}
+	return func() bool { return s.mayWrite(h) }
 }
 
 // Platform reports whether this VM may call the platform at now.
 func (s *Service) Platform(now time.Duration) bool {
 	h, ok := s.Held(now, lease.Platform)
-	return ok && s.opt.PlatformClient != nil && h.Until > now+minLeaseForCall
+	return ok && s.opt.PlatformClient != nil && h.mayWrite(now, s.waits)
 }
 
 // Scale requests a number of upstreams from the platform.
 func (s *Service) Scale(ctx context.Context, n UpstreamCount) error {
-	h, ok := s.Held(clock.SinceBoot(), lease.Platform)
+	h, ok := s.Held(s.now(), lease.Platform)
 	if !ok || s.opt.PlatformClient == nil {
 		return ErrNotHeld
 	}
 	err := s.opt.PlatformClient.Scale(ctx, s.opt.ControlPlane.VM(), h.Fence, n, s.platformCheck(h))
 	if errors.Is(err, ErrFenced) {
-		s.releaseFenced(ctx, h)
+		s.giveUp(h)
 	}
 	return err
 }
-
-// minLeaseForCall is how much of the lease must remain when a call to the platform is written: the kernel gives up
-// delivering the call after this time.
-const minLeaseForCall = tcpUserTimeout
--- a/internal/services/order/sender.go
+++ b/internal/services/order/sender.go
@@ -22,7 +22,7 @@
 const (
 	headerFence = "Wagtaillift-Fence"
 	// tcpUserTimeout is the longest time for which the kernel tries to deliver unacknowledged bytes.
-	tcpUserTimeout = 1500 * time.Millisecond
+	tcpUserTimeout = time.Second
 	maxReplyBytes  = 1 << 20
 )
 
--- a/internal/services/order/service.go
+++ b/internal/services/order/service.go
@@ -54,8 +54,9 @@
 	MultiZone      bool                              // one control VM sends orders to the engines of all data centres
 	Window         time.Duration                     // length of a usage window
 	SealDelay      time.Duration                     // from the end of a window until it is sealed; zero means sealDelay
-	Lease          time.Duration                     // duration of the exclusive leases; zero means leaseDuration
+	Lease          time.Duration                     // duration of the exclusive leases; zero means leaseDuration, and minLease is the shortest
 	Now            func(now time.Duration) time.Time // the fleet's wall-clock time; if nil, the VM's own is used
+	SinceBoot      func() time.Duration              // the clock of leases; if nil, clock.SinceBoot
 }
 
 // Platform makes the calls that require the platform lease. They return ErrFenced if the platform has seen a later
@@ -91,27 +92,20 @@
 // ErrFenced is returned if the peer has seen a higher fencing number, so this VM no longer holds the lease.
 const ErrFenced = errors.ConstError("a higher fencing number was seen")
 
-// HeldLease is a lease held by this VM.
-type HeldLease struct {
-	Name     lease.Name
-	Fence    id.Fence
-	Until    time.Duration // on the clock.SinceBoot clock
-	acquired time.Duration // time at which this VM learned of the first grant with this fencing number
-	renewed  time.Duration // time at which the latest grant was requested
-}
-
 // Service acquires leases for this VM and sends orders and reports while it holds them.
 type Service struct {
 	opt    Options
+	waits  waits
 	sender *Sender
 	mu     sync.Mutex
 	held   map[lease.Name]HeldLease
+	closed bool // HandOver was called
 }
 
 // New returns a service, which is started by Run.
 func New(opt Options) *Service {
-	s := &Service{opt: opt, sender: NewSender(), held: map[lease.Name]HeldLease{}}
-	s.opt.Lease = cmp.Or(opt.Lease, leaseDuration)
+	s := &Service{opt: opt, waits: waits{deliveryTime, takeoverDelay}, sender: NewSender(), held: map[lease.Name]HeldLease{}}
+	s.opt.Lease = max(minLease, cmp.Or(opt.Lease, leaseDuration))
 	s.opt.SealDelay = cmp.Or(opt.SealDelay, sealDelay)
 	if opt.PlatformClient == nil && opt.Platform != "" {
 		s.opt.PlatformClient = &nativeClient{sender: s.sender, url: opt.Platform}
@@ -122,16 +116,21 @@
 	if opt.Now == nil {
 		s.opt.Now = func(time.Duration) time.Time { return time.Now() }
 	}
+	if opt.SinceBoot == nil {
+		s.opt.SinceBoot = clock.SinceBoot
+	}
 	return s
 }
 
+func (s *Service) now() time.Duration { return s.opt.SinceBoot() }
+
 // Run acquires and renews leases and does the work that requires them until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	pause.Every(ctx, actInterval, func() { s.act(ctx) })
 }
 
 func (s *Service) act(ctx context.Context) {
-	now := clock.SinceBoot()
+	now := s.now()
 	if !s.opt.ControlPlane.Leased(now, 0) {
 		return
 	}
@@ -163,79 +162,14 @@
 // CanOrder reports whether this VM may send orders to engines at now.
 func (s *Service) CanOrder(now time.Duration) bool {
 	h, ok := s.Held(now, s.enginesLease())
-	return ok && now >= h.acquired+takeoverDelay
-}
-
-// takeoverDelay is how long a new holder waits before it acts. Everything that an earlier holder wrote has arrived or
-// been dropped by then.
-const takeoverDelay = orderWriteTimeout + sendTimeout + tcpUserTimeout
-
-// Held returns the lease n and whether this VM holds it at now.
-func (s *Service) Held(now time.Duration, n lease.Name) (HeldLease, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h, ok := s.held[n]
-	return h, ok && now < h.Until
-}
-
-// ensureLease renews the lease n if a renewal is due, or acquires it if no VM holds it.
-func (s *Service) ensureLease(ctx context.Context, n lease.Name) (HeldLease, bool) {
-	now := clock.SinceBoot()
-	h, held := s.Held(now, n)
-	if held && now-h.renewed < s.opt.Lease/renewalsPerLease {
-		return h, true
-	}
-	cp := s.opt.ControlPlane
-	l, granted := cp.State().Lease(n)
-	mine := granted && l.Holder == cp.VM() && l.Incarnation == cp.Incarnation()
-	if granted && !mine {
-		return HeldLease{}, false
-	}
-	r, err := cp.Propose(ctx, state.Command{Acquire: &state.Acquire{
-		Name: n, VM: cp.VM(), Incarnation: cp.Incarnation(), Duration: s.opt.Lease,
-	}})
-	if err != nil || r.Code != state.OK || r.Lease == nil {
-		return h, held
-	}
-	return s.recordGrant(now, *r.Lease)
-}
-
-// recordGrant records a grant of the lease l that was requested at requestedAt.
-func (s *Service) recordGrant(requestedAt time.Duration, l lease.Lease) (HeldLease, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h := s.held[l.Name]
-	if l.Fence < h.Fence {
-		return h, false // a delayed answer with an earlier grant
-	}
-	if h.Fence != l.Fence {
-		klog.InfoS("Lease acquired", "lease", l.Name, "fence", l.Fence)
-		h = HeldLease{Name: l.Name, Fence: l.Fence, acquired: clock.SinceBoot()}
-	}
-	h.renewed = requestedAt
-	h.Until = lease.HeldUntil(requestedAt, l.Duration)
-	s.held[l.Name] = h
-	return h, clock.SinceBoot() < h.Until
-}
-
-// releaseFenced releases a lease after a peer has seen a higher fencing number for it.
-func (s *Service) releaseFenced(ctx context.Context, h HeldLease) {
-	s.mu.Lock()
-	if s.held[h.Name].Fence == h.Fence {
-		s.held[h.Name] = HeldLease{Name: h.Name, Fence: h.Fence}
-	}
-	s.mu.Unlock()
-	klog.InfoS("Lease released: a peer has seen a higher fencing number", "lease", h.Name, "fence", h.Fence)
-	if _, err := s.opt.ControlPlane.Propose(ctx, state.Command{Release: &state.Release{Name: h.Name, Fence: h.Fence}}); err != nil {
-		klog.InfoS("Failed to release lease", "lease", h.Name, "fence", h.Fence, "err", err)
-	}
+	return ok && h.settled(now, s.waits)
 }
 
 // Order commits the intent of an order to an engine, sends the order and commits the outcome.
 func (s *Service) Order(ctx context.Context, u id.Upstream, kind order.Kind, value, reason string) error {
-	now := clock.SinceBoot()
+	now := s.now()
 	h, ok := s.Held(now, s.enginesLease())
-	if !ok || h.Until < now+sendTimeout {
+	if !ok || !h.settled(now, s.waits) || !h.mayWrite(now, s.waits) {
 		return ErrNotHeld
 	}
 	target, found := s.findEngine(u)
@@ -257,11 +191,7 @@
 // send writes o before deadline or not at all, and commits its outcome. If the outcome is unknown, the order stays
 // pending until resolvePending reads it from the engine.
 func (s *Service) send(ctx context.Context, h HeldLease, o order.Order, target engine.Announcement, deadline time.Duration) error {
-	check := func() bool {
-		now := clock.SinceBoot()
-		held, ok := s.Held(now, h.Name)
-		return ok && held.Fence == h.Fence && now < deadline && held.Until > now+sendTimeout
-	}
+	check := func() bool { return s.now() < deadline && s.mayWrite(h) }
 	err := s.opt.Engines.Send(ctx, s.opt.ControlPlane.VM(), target, o, check)
 	switch {
 	case err == nil:
@@ -269,7 +199,7 @@
 	case errors.Is(err, errNotSent):
 		return s.commitOutcome(ctx, o, order.Failed, "not sent: "+err.Error())
 	case errors.Is(err, ErrFenced):
-		s.releaseFenced(ctx, h)
+		s.giveUp(h)
 		return errors.Annotatef(err, "order to upstream %s", target.Address)
 	case errors.Is(err, errRefused):
 		return s.commitOutcome(ctx, o, order.Failed, err.Error())
@@ -299,8 +229,8 @@
 // outcomes. It does nothing before takeoverDelay has passed: until then an earlier holder could still write, or the
 // kernel deliver what it wrote.
 func (s *Service) resolvePending(ctx context.Context, h HeldLease) {
-	now := clock.SinceBoot()
-	if now < h.acquired+takeoverDelay {
+	now := s.now()
+	if !h.settled(now, s.waits) {
 		return
 	}
 	for _, o := range s.opt.ControlPlane.State().Orders() {
--- a/internal/services/order/service_test.go
+++ b/internal/services/order/service_test.go
@@ -137,9 +137,19 @@
 	return h
 }
 
+// acquireSettled acquires the engines lease for a VM whose takeoverDelay has passed.
+func (s *fixture) acquireSettled(i int) HeldLease {
+	h := s.acquireEngines(i)
+	h.acquired -= takeoverDelay
+	s.services[i].mu.Lock()
+	defer s.services[i].mu.Unlock()
+	s.services[i].held[h.Name] = h
+	return h
+}
+
 func TestOrderCommitsIntentAndOutcome(t *testing.T) {
 	s := newFixture(t)
-	h := s.acquireEngines(0)
+	h := s.acquireSettled(0)
 	require.NoError(t, s.services[0].Order(context.Background(), "e1", order.SetRole, "decode", "test"))
 	require.Len(t, s.target.received(), 1)
 	require.Equal(t, h.Fence, s.target.received()[0].Fence)
@@ -156,13 +166,13 @@
 // its lease. The order must not reach the engine, even if the engine does not check fencing numbers.
 func TestPausedHolderSendsNothing(t *testing.T) {
 	s := newFixture(t)
-	s.acquireEngines(0)
+	s.acquireSettled(0)
 	s.vms[0].intentDelay = leaseDuration + time.Second
 	done := make(chan error, 1)
 	go func() { done <- s.services[0].Order(context.Background(), "e1", order.SetRole, "decode", "late") }()
 	time.Sleep(leaseDuration + 100*time.Millisecond)
 	s.expireEnginesLease()
-	s.acquireEngines(1)
+	s.acquireSettled(1)
 	require.Error(t, <-done)
 	require.Empty(t, s.target.received())
 	require.NoError(t, s.services[1].Order(context.Background(), "e1", order.SetRole, "prefill", "new"), "the old holder's intent must not block the new holder's order")
@@ -173,7 +183,7 @@
 // must wait, read the engine's state and only then send the next order.
 func TestNewHolderResolvesPendingOrder(t *testing.T) {
 	s := newFixture(t)
-	s.acquireEngines(0)
+	s.acquireSettled(0)
 	s.target.dropAnswers.Store(true)
 	require.Error(t, s.services[0].Order(context.Background(), "e1", order.SetRole, "decode", "lost"))
 	s.target.dropAnswers.Store(false)
