Tell a series of crashes from upstreams that end together by the delay of their notice

Change: three crashes that are apart by twice the spread of their delays are a series. It takes the place of the rule of four crashes apart in both times.

--- a/internal/models/suspect/part.go
+++ b/internal/models/suspect/part.go
@@ -18,8 +18,7 @@
 	minMoments       = 4
 	momentGap        = 200 * time.Millisecond // between the crashes of two moments
 	silentGap        = 2 * time.Second        // the same if silence alone shows a crash
-	apartGap         = 500 * time.Millisecond // the same if the runs that ended also began so far apart
-	minApartCrashes  = 4                      // with minPartRounds moments that are apart in both ways
+	seriesFactor     = 2                      // the crashes of a series are apart by so many times the spread of their delays
 )
 
 const (
@@ -37,26 +36,28 @@
 	case rounds >= minPartRounds, rounds >= minCrowdedRounds && r.moments(momentGap) >= minMoments:
 		return true
 	}
-	return len(r) >= minApartCrashes && min(r.moments(apartGap), r.starts(apartGap)) >= minPartRounds
+	return r.moments(max(momentGap, seriesFactor*r.delaySpread())) >= minPartRounds
 }
 
-// moments returns the number of crashes that were noticed at least gap apart.
-func (r Record) moments(gap time.Duration) int {
-	return countApart(r, gap, func(c Crash) Millis { return c.At })
+// delaySpread returns by how much the times from the begin of a run to the notice of its crash differ. Crashes that a part causes follow
+// their begin at about the same delay, however late they are noticed. Upstreams that end together for another reason do so at any age of
+// their runs, and are noticed in another order than the runs began.
+func (r Record) delaySpread() time.Duration {
+	shortest, longest := r[0].delay(), r[0].delay()
+	for _, c := range r[1:] {
+		shortest, longest = min(shortest, c.delay()), max(longest, c.delay())
+	}
+	return longest - shortest
 }
 
-// starts returns the number of crashes whose runs began at least gap apart. Runs on upstreams that end together are mostly younger than
-// the time by which their silence is noticed at different moments.
-func (r Record) starts(gap time.Duration) int {
-	return countApart(r, gap, func(c Crash) Millis { return c.Began })
-}
+func (c Crash) delay() time.Duration { return c.At.Sub(c.Began) }
 
-// countApart returns the number of crashes whose times are at least gap apart.
-func countApart(r Record, gap time.Duration, at func(Crash) Millis) (n int) {
+// moments returns the number of crashes that were noticed at least gap apart.
+func (r Record) moments(gap time.Duration) (n int) {
 	var last Millis
-	for _, c := range slices.SortedFunc(slices.Values(r), func(a, b Crash) int { return cmp.Compare(at(a), at(b)) }) {
-		if n == 0 || at(c).Sub(last) >= gap {
-			n, last = n+1, at(c)
+	for _, c := range r {
+		if n == 0 || c.At.Sub(last) >= gap {
+			n, last = n+1, c.At
 		}
 	}
 	return n
