End a silent attempt only if another upstream can take over; comments do not keep a stalled stream alive

Operators' story: slow but sound streams were cut, and stalled ones that sent a byte now and then never ended. Both can happen here.

Platform's face: the silence timer ended an attempt before it was known whether a retry may follow; with a spent budget or no other upstream the caller got 502 or a cut stream for an upstream that was only slow. OpenAI face: the same after 5 s, and each blank line, also after a comment, started the 5 s anew, so that an engine that sends comments and no token held its caller to the deadline; before the head of an answer no limit ran.

Ruled out: bytes inside an event or comments on the platform's face (only fields of an event reset its timer); plain calls (bounded by the deadline).

--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -21,14 +21,15 @@
 
 // progress is the state of a response over all attempts of a call.
 type progress struct {
-	repeats int          // retries of an upstream already tried
-	tokens  id.Tokens    // delivered to the caller
-	version string       // software version of the engine that generated the first token
-	chunks  bytes.Buffer // JSON chunks delivered to the caller, one per line
-	sent    bool         // an attempt sent bytes to an upstream
-	now     bool         // the current attempt sent bytes to its upstream
-	final   *final
-	sentAt  time.Duration // clock.SinceBoot at the start of the current attempt
+	attempts int          // including the current one
+	repeats  int          // retries of an upstream already tried
+	tokens   id.Tokens    // delivered to the caller
+	version  string       // software version of the engine that generated the first token
+	chunks   bytes.Buffer // JSON chunks delivered to the caller, one per line
+	sent     bool         // an attempt sent bytes to an upstream
+	now      bool         // the current attempt sent bytes to its upstream
+	final    *final
+	sentAt   time.Duration // clock.SinceBoot at the start of the current attempt
 }
 
 // RunModel runs a chat or completion call and resumes it on other engines until the end event arrives. It writes the response
@@ -128,7 +129,8 @@
 		return err
 	}
 	tried[u.Name], pr.sentAt = true, clock.SinceBoot()
-	err = d.stream(ctx, c, u, out, pr)
+	pr.attempts++
+	err = d.stream(ctx, c, u, out, pr, tried)
 	recordAttempt(c, ch, err)
 	if err == nil {
 		u.Stats.RecordSuccess()
@@ -164,7 +166,7 @@
 }
 
 // stream sends c to u and relays tokens until the end event.
-func (d *Dispatcher) stream(ctx context.Context, c *call.Call, u *roster.Upstream, out Sink, pr *progress) error {
+func (d *Dispatcher) stream(ctx context.Context, c *call.Call, u *roster.Upstream, out Sink, pr *progress, tried map[id.Upstream]bool) error {
 	start := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -185,6 +187,8 @@
 	r.Header.Set("Accept", "text/event-stream")
 	r.Header.Set(headerRequest, string(c.ID))
 	r.Header.Set(headerDeadline, time.Until(c.Deadline).Round(time.Millisecond).String())
+	silence := newSilenceTimer(d.leaveSilent(ctx, c, u, pr, tried, cancel))
+	defer silence.stop()
 	resp, sent, err := d.Client.Do(r)
 	pr.sent, pr.now = pr.sent || sent, sent
 	if err != nil {
@@ -199,7 +203,7 @@
 		return errors.Annotatef(err, "answer of upstream %s", u.Address)
 	}
 	p := latencyTracker{stats: u.Stats, start: start, resumedFrom: pr.tokens}
-	if err = relay(resp.Body, c.ID, out, pr, &p, cancel); err == nil {
+	if err = relay(resp.Body, c.ID, out, pr, &p, silence); err == nil {
 		p.checkTokenGap(pr.tokens)
 	}
 	return errors.Annotatef(err, "stream from upstream %s", u.Address)
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -3,14 +3,12 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -92,10 +90,8 @@
 }}
 
 // relay passes the events of body to out until the end event. The id of an event holds the request and the number of tokens
-// up to it; an event of another request or out of order ends the stream. A silence of streamIdleTimeout cancels it.
-func relay(body io.Reader, want id.Request, out Sink, pr *progress, p *latencyTracker, cancel context.CancelFunc) error {
-	idleTimer := time.AfterFunc(streamIdleTimeout, cancel)
-	defer idleTimer.Stop()
+// up to it; an event of another request or out of order ends the stream.
+func relay(body io.Reader, want id.Request, out Sink, pr *progress, p *latencyTracker, silence *silenceTimer) error {
 	buf := streamBuffers.Get().(*streamBuffer)
 	defer streamBuffers.Put(buf)
 	r := buf.reader
@@ -119,7 +115,6 @@
 			}
 			continue
 		}
-		idleTimer.Reset(streamIdleTimeout)
 		before := pr.tokens
 		done, err := ev.deliver(out, pr)
 		if done || err != nil {
@@ -128,6 +123,7 @@
 		if pr.tokens > before {
 			noise = 0
 		}
+		silence.received(pr.tokens > before)
 		p.recordToken(pr.tokens)
 		ev = event{}
 	}
--- a/internal/services/dispatch/relay_test.go
+++ b/internal/services/dispatch/relay_test.go
@@ -39,7 +39,7 @@
 
 func runRelay(body string, pr *progress) (*recordingSink, error) {
 	s := &recordingSink{}
-	err := relay(strings.NewReader(body), "r1", s, pr, &latencyTracker{}, func() {})
+	err := relay(strings.NewReader(body), "r1", s, pr, &latencyTracker{}, newSilenceTimer(func(bool) bool { return true }))
 	return s, err
 }
 
@@ -75,7 +75,7 @@
 // A failed write to the caller must not be attributed to the engine.
 func TestCallerWriteErrorIsDistinct(t *testing.T) {
 	s := &recordingSink{fail: errors.New("gone")}
-	err := relay(strings.NewReader(tokenEvent("r1", 1)), "r1", s, &progress{}, &latencyTracker{}, func() {})
+	err := relay(strings.NewReader(tokenEvent("r1", 1)), "r1", s, &progress{}, &latencyTracker{}, newSilenceTimer(func(bool) bool { return true }))
 	var writeErr callerError
 	require.ErrorAs(t, err, &writeErr)
 }
@@ -110,7 +110,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		pr := &progress{}
-		if err := relay(bytes.NewReader(body.Bytes()), "r1", discardSink{}, pr, &latencyTracker{}, func() {}); err != nil {
+		if err := relay(bytes.NewReader(body.Bytes()), "r1", discardSink{}, pr, &latencyTracker{}, newSilenceTimer(func(bool) bool { return true })); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -209,7 +209,7 @@
 	p.tried[sel.u.Name] = true
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := f.silenceTimer(c, p, cancel)
+	silence := f.silenceTimer(ctx, c, sel, p, cancel)
 	defer silence.stop()
 	start := time.Now()
 	t := f.newTarget(c, sel)
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -94,11 +94,12 @@
 	stream      bool
 	truncated   bool // the body ends with an error
 	notRun      bool
-	sent        bool   // with fail: a byte was sent
-	fail        bool   // no answer: the send returns an error
-	beforeWrite func() // called before Target.Allow
-	hangs       bool   // no answer until the context ends
-	unframed    bool   // the body ends with the connection
+	sent        bool          // with fail: a byte was sent
+	fail        bool          // no answer: the send returns an error
+	beforeWrite func()        // called before Target.Allow
+	hangs       bool          // no answer until the context ends
+	pause       time.Duration // before the answer, unless the context ends
+	unframed    bool          // the body ends with the connection
 	rate        pace.Rate
 }
 
@@ -130,6 +131,11 @@
 		<-ctx.Done()
 		return nil, true, ctx.Err()
 	}
+	select {
+	case <-time.After(s.pause):
+	case <-ctx.Done():
+		return nil, true, ctx.Err()
+	}
 	if s.fail {
 		return nil, s.sent, errors.New("the connection failed")
 	}
--- /dev/null
+++ b/internal/services/forward/silence_test.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/modules/clock"
+)
+
+// An upstream that is slow but sound is only left if another one may take the call.
+func TestSlowUpstreamIsKept(t *testing.T) {
+	const pause = minSilenceTimeout + 300*time.Millisecond
+	slow := sendResult{status: 200, stream: true, body: "id: 1\ndata: x\n\n", pause: pause}
+	cases := map[string]func(s *fixture){
+		"no retry is left in the budget": func(s *fixture) { s.Retries = Retries{} },
+		"no other upstream": func(s *fixture) {
+			other := newAnnouncement("e2", model, engine.Decode)
+			other.State, other.Sequence = engine.Leaving, 1
+			require.NoError(t, s.Roster.Announce(clock.SinceBoot(), other))
+			s.Roster.MarkLeaving(clock.SinceBoot(), "e1", 1, 1)
+			require.NoError(t, s.Roster.Announce(clock.SinceBoot(), newAnnouncement("e3", model, engine.Decode)))
+		},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, out := newFixture(t, slow), &fakeSink{}
+			prepare(s)
+			require.NoError(t, s.Serve(context.Background(), newCall("/resumable/"), out))
+			require.Equal(t, http.StatusOK, out.status)
+			require.Len(t, s.up.targets, 1)
+		})
+	}
+	t.Run("another upstream takes it", func(t *testing.T) {
+		t.Parallel()
+		s, out := newFixture(t, slow, sendResult{status: 200, stream: true, body: "id: 1\ndata: y\n\n"}), &fakeSink{}
+		require.NoError(t, s.Serve(context.Background(), newCall("/resumable/"), out))
+		require.Contains(t, out.body.String(), "data: y")
+		require.Len(t, s.up.targets, 2)
+	})
+}
--- a/internal/services/retry/retry.go
+++ b/internal/services/retry/retry.go
@@ -52,3 +52,8 @@
 		}
 	}
 }
+
+// Room reports whether Spend would take one retry now.
+func (b *Budget) Room(burst float64) bool {
+	return float64(b.spent.Load()+unitsPerRetry) <= burst*unitsPerRetry
+}
