A planned stop closes no connection on which a caller may just be sending

Operators' story: during a planned stop under load, requests that had just been accepted were cut off without an answer. It can happen here.

Cause: at the signal SetKeepAlivesEnabled(false) closed all idle connections at once. A request that arrives at that moment on one of them, even if its head has been read, ends without an answer, and a caller may not repeat what is not safe.

Now idle connections stay open while the VM is still in rotation (stop.lead); each answer of that time says that its connection ends, so callers move on with their next request. Connections that carried nothing in all that time are closed after it.

Both faces use the wrapper. Ruled out: requests that run (waited for before and after), requests whose head is being read at the end (Shutdown waits for them).

--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -94,7 +94,7 @@
 func (v *VM) platformEndpoints() []endpoint {
 	server := v.platform
 	return []endpoint{
-		{"callers", v.cfg.Listen.Caller, server.caller},
+		{"callers", v.cfg.Listen.Caller, v.endLater(server.caller)},
 		{"operators", v.cfg.Listen.Operator, server.control},
 		{"upstreams", v.cfg.Listen.Upstream, server.control},
 		{"metrics", v.cfg.Listen.Metrics, v.metricsHandler()},
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -324,6 +324,17 @@
 	countRequest(string(c.Service.ID), outcome)
 }
 
+// endLater wraps a handler so that, once the VM is stopping, each answer ends its connection: callers then send their next request to
+// another VM. Idle connections stay open meanwhile, since a caller may just be sending on one.
+func (v *VM) endLater(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v.unhealthy.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // endpoint is a listener with its handler. An empty address disables it.
 type endpoint struct {
 	name, address string
@@ -334,7 +345,7 @@
 func (v *VM) endpoints() []endpoint {
 	announcements := &announce.Handler{Config: v.authority.Config, Guard: v.authority, Roster: v.roster, VM: v.authority.VM()}
 	return []endpoint{
-		{"callers", v.cfg.Listen.Caller, v.caller},
+		{"callers", v.cfg.Listen.Caller, v.endLater(v.caller)},
 		{"operators", v.cfg.Listen.Operator, v.operator},
 		{"upstreams", v.cfg.Listen.Upstream, announcements},
 		{"metrics", v.cfg.Listen.Metrics, v.metricsHandler()},
@@ -452,9 +463,9 @@
 	stopped, cancelHandOver := context.WithCancel(context.Background())
 	defer cancelHandOver()
 	go v.orders.HandOver(stopped)
-	v.servers[endpointCaller].SetKeepAlivesEnabled(false) // so that callers send their next request to another VM
 	time.Sleep(v.cfg.Shutdown.RefuseDelay)
 	v.stopping.Store(true)
+	v.servers[endpointCaller].SetKeepAlivesEnabled(false) // closes the connections that were idle all the while
 	end := time.Now().Add(v.cfg.Shutdown.DrainTimeout)
 	for v.runningRequests() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPollInterval)
