Refuse malformed log messages, and let a panic in a handler end the call only

Operators' story: one malformed message or unexpected error took a whole process down. It can happen here, between VMs.

Cause: the replicated log's core believed every message of another VM. A handler's panic was not caught.

Calls and bytes are counted by method (wagtaillift_peer_method_calls_total, _bytes_total), for the table of messages.

--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -410,8 +410,8 @@
 // Restore replaces the tables with those of a snapshot. It rejects a snapshot older than the applied index.
 func (m *Machine) Restore(data []byte) error {
 	n := New()
-	if err := cbor.Unmarshal(data, &n.t); err != nil {
-		return errors.Annotate(err, "decode snapshot")
+	if err := n.decode(data); err != nil {
+		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -424,6 +424,13 @@
 	return nil
 }
 
+// Check returns an error if data is not a snapshot.
+func (m *Machine) Check(data []byte) error { return New().decode(data) }
+
+func (m *Machine) decode(data []byte) error {
+	return errors.Annotate(cbor.Unmarshal(data, &m.t), "decode snapshot")
+}
+
 // initMissingMaps creates the maps that a follower snapshot or one of an earlier version omits.
 func (t *tables) initMissingMaps() {
 	empty := New().t
--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -4,7 +4,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
+	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +19,7 @@
 
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/lazy"
 )
 
 const (
@@ -61,8 +65,19 @@
 // Stats counts the calls made and the message bytes sent and received, for capacity measurements.
 type Stats struct {
 	SentBytes, ReceivedBytes, Calls atomic.Int64
+	Panics                          atomic.Int64 // of handlers
+	methods                         lazy.Map[string, MethodStats]
 }
 
+// MethodStats counts the calls of one method and their message bytes, questions and answers together.
+type MethodStats struct {
+	Calls, CallBytes    atomic.Int64 // made by this VM
+	Served, ServedBytes atomic.Int64 // of other VMs
+}
+
+// EachMethod calls f for each method that this VM has called or served.
+func (s *Stats) EachMethod(f func(method string, m *MethodStats)) { s.methods.Each(f) }
+
 // Transport makes and receives calls.
 type Transport struct {
 	Stats    Stats
@@ -133,6 +148,9 @@
 	}
 }
 
+// Methods returns the names of the registered methods.
+func (t *Transport) Methods() []string { return slices.Sorted(maps.Keys(t.handlers)) }
+
 // Serve accepts connections and handles their calls until ctx ends.
 func (t *Transport) Serve(ctx context.Context) {
 	for {
@@ -171,6 +189,7 @@
 	defer s.Close()
 	var c call
 	if _, err := t.readFirst(s, &c); err != nil {
+		klog.V(1).InfoS("Unreadable call of a peer", "peer", from, "err", err)
 		s.CancelWrite(codeRejected)
 		return
 	}
@@ -180,14 +199,34 @@
 	}
 	io.Copy(io.Discard, s) // up to the end of the stream, so that its resources are released
 	var a answer
-	if h, ok := t.handlers[c.Method]; !ok {
-		a.Error = "unknown method " + c.Method
-	} else if body, err := h(ctx, from, c.Body); err != nil {
+	h, ok := t.handlers[c.Method]
+	if !ok {
+		t.writeMessage(s, answer{Error: "unknown method " + c.Method})
+		return
+	}
+	if body, err := t.handle(ctx, from, h, c); err != nil {
 		a.Error = err.Error()
 	} else {
 		a.Body = body
 	}
-	t.writeMessage(s, a)
+	n := t.Stats.methods.Get(c.Method)
+	n.Served.Add(1)
+	n.ServedBytes.Add(int64(len(c.Body) + len(a.Body)))
+	if err := t.writeMessage(s, a); err != nil {
+		klog.V(1).InfoS("Failed to answer a peer", "peer", from, "method", c.Method, "err", err)
+	}
+}
+
+// handle runs a handler. A panic, which a message that nobody foresaw may cause, ends the call and not the process.
+func (t *Transport) handle(ctx context.Context, from id.VM, h Handler, c call) (body []byte, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.Stats.Panics.Add(1)
+			err = errors.Errorf("the handler of %s failed: %v", c.Method, p)
+			klog.ErrorS(err, "Handler panicked", "peer", from, "method", c.Method, "bytes", len(c.Body), "stack", string(debug.Stack()))
+		}
+	}()
+	return h(ctx, from, c.Body)
 }
 
 func (t *Transport) readMessage(r io.Reader, v any) error {
@@ -220,6 +259,9 @@
 		return a, errors.Annotatef(err, "encode %s", method)
 	}
 	raw, err := t.call(ctx, address, call{Method: method, Body: body})
+	n := t.Stats.methods.Get(method)
+	n.Calls.Add(1)
+	n.CallBytes.Add(int64(len(body) + len(raw)))
 	if err != nil {
 		return a, errors.Annotatef(err, "call %s at %s", method, address)
 	}
--- a/internal/modules/quorum/core.go
+++ b/internal/modules/quorum/core.go
@@ -177,11 +177,19 @@
 	}
 }
 
-// Step handles one message from another node.
-func (c *Core) Step(now time.Duration, m Message) {
+// Step handles one message from another node. It returns an error, and does nothing, if the message is malformed.
+func (c *Core) Step(now time.Duration, m Message) error {
 	if m.To != c.opt.Self {
-		return
+		return nil
+	}
+	if err := c.check(now, m); err != nil {
+		return err
 	}
+	c.step(now, m)
+	return nil
+}
+
+func (c *Core) step(now time.Duration, m Message) {
 	if m.Term > c.hardState.Term && !c.handleNewerTerm(now, m) {
 		return
 	}
--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -31,6 +31,7 @@
 	Publish() // makes the applied entries visible to readers
 	Snapshot() (quorum.Index, []byte, error)
 	Restore(data []byte) error
+	Check(data []byte) error // whether Restore can read data
 }
 
 // Disk is the persistent storage of the log.
@@ -395,10 +396,21 @@
 	return nil
 }
 
-// Step passes a message to the core. The message is dropped if the inbox is full.
+// Step passes a message to the core. The message is dropped if the inbox is full, or if it is malformed.
 func (r *Replica[R]) Step(m quorum.Message) {
+	if m.Snapshot != nil {
+		if err := r.machine.Check(m.Snapshot.Data); err != nil {
+			klog.ErrorS(err, "Malformed snapshot dropped", "peer", m.From, "index", m.Snapshot.Index)
+			return
+		}
+	}
+	step := func(now time.Duration) {
+		if err := r.core.Step(now, m); err != nil {
+			klog.ErrorS(err, "Malformed log message dropped", "peer", m.From, "kind", m.Kind, "term", m.Term, "index", m.Index)
+		}
+	}
 	select {
-	case r.inbox <- func(now time.Duration) { r.core.Step(now, m) }:
+	case r.inbox <- step:
 	default:
 	}
 }
--- a/internal/routers/vm/metrics.go
+++ b/internal/routers/vm/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/peer"
 )
 
 // writeBurnRates writes the error-budget burn rates of each service-level objective, for alerts.
@@ -24,6 +25,16 @@
 	fmt.Fprintf(w, "wagtaillift_peer_sent_bytes_total %d\n", stats.SentBytes.Load())
 	fmt.Fprintf(w, "wagtaillift_peer_received_bytes_total %d\n", stats.ReceivedBytes.Load())
 	fmt.Fprintf(w, "wagtaillift_peer_calls_total %d\n", stats.Calls.Load())
+	fmt.Fprintf(w, "wagtaillift_peer_panics_total %d\n", stats.Panics.Load())
+	stats.EachMethod(func(method string, m *peer.MethodStats) {
+		for _, x := range []struct {
+			side         string
+			calls, bytes int64
+		}{{"made", m.Calls.Load(), m.CallBytes.Load()}, {"served", m.Served.Load(), m.ServedBytes.Load()}} {
+			fmt.Fprintf(w, "wagtaillift_peer_method_calls_total{method=%q,side=%q} %d\n", method, x.side, x.calls)
+			fmt.Fprintf(w, "wagtaillift_peer_method_bytes_total{method=%q,side=%q} %d\n", method, x.side, x.bytes)
+		}
+	})
 	fmt.Fprintf(w, "wagtaillift_revision %d\n", v.authority.Config().Revision)
 	fmt.Fprintf(w, "wagtaillift_lease_seconds %g\n", max(0, (v.authority.LeaseEnd()-clock.SinceBoot()).Seconds()))
 	leading := 0
