A full disk ends the VM's work, not its process

Operators' story: an unexpected error took a whole process down.

Cause: the replica's write error ends the VM, which is right, since the agent must not go on without its log (TestDiskErrorEndsAgent), and the command ended with it.

Now the command builds the VM anew, from the settings file as it is then, once the disk has room. Other errors still end the process.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -47,17 +47,60 @@
 		return err
 	}
 	configureLog(cfg.Log.Verbosity)
-	if cfg.Data.Folder != "" {
-		if err := wal.AwaitRoom(ctx, cfg.Data.Folder); err != nil {
+	return runThroughFullDisks(ctx, cfg.Data.Folder, func() (runner, error) { return newReloadedVM(a.Config) })
+}
+
+// runner is a VM that serves until ctx ends or a component fails.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// runThroughFullDisks runs the VM that build returns. If it ends because the disk of folder is full, the next one starts in the same process
+// once there is room: a control VM without its log must stop serving, but its process need not end. Any other error is returned.
+func runThroughFullDisks(ctx context.Context, folder string, build func() (runner, error)) error {
+	for {
+		if folder != "" {
+			if err := wal.AwaitRoom(ctx, folder); err != nil {
+				if ctx.Err() != nil {
+					return nil // stopped as planned while it waited
+				}
+				return err
+			}
+		}
+		v, err := build()
+		if err != nil {
 			return err
 		}
+		err = v.Run(ctx)
+		if ctx.Err() != nil || !errors.Is(err, syscall.ENOSPC) {
+			return err
+		}
+		klog.ErrorS(err, "VM stopped on a full disk; it starts again once there is room", "folder", folder)
 	}
-	v, err := vm.New(cfg)
+}
+
+// reloadedVM is a VM whose settings file is watched while it runs.
+type reloadedVM struct {
+	*vm.VM
+	path string
+}
+
+// newReloadedVM builds a VM from the settings that the file at path has now.
+func newReloadedVM(path string) (reloadedVM, error) {
+	cfg, err := setting.Load(path)
 	if err != nil {
-		return err
+		return reloadedVM{}, err
 	}
-	go watchSettings(ctx, a.Config, v)
-	return v.Run(ctx)
+	v, err := vm.New(cfg)
+	return reloadedVM{v, path}, err
+}
+
+// Run runs the VM and applies changes of its settings file.
+func (v reloadedVM) Run(ctx context.Context) error {
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go watchSettings(watch, v.path, v.VM)
+	return v.VM.Run(ctx)
 }
 
 // reloadInterval is how often the settings file is checked for changes, since it may be rewritten without a SIGHUP.
