A connection to an upstream never carries two requests with one id

Operators' story: a server sent a second copy of an answer, late, on a connection that was in use again; the next caller got an answer that wasn't its own. It can happen here, on the platform's face.

Cause: answers are told apart by X-Request-Id, which callers choose. Two callers that choose the same id (a counter, a fixed word), one after the other on one kept connection: the late copy of the first's answer names the second's id and was passed on. And an answer that names a request was accepted for a question without an id (an engine's report, before it continues a stream).

Ruled out: copies that arrive before reuse (the connection is found dirty and closed), with another id (skipped, then closed), on the OpenAI face (ids are drawn by the VM), between VMs (one QUIC stream a call), orders and reports (one connection a call), tunnels (one request each).

--- a/internal/modules/replica/replica_test.go
+++ b/internal/modules/replica/replica_test.go
@@ -22,7 +22,7 @@
 func (nullStore) Publish()                                           {}
 func (nullStore) Snapshot() (quorum.Index, []byte, error)            { return 0, nil, nil }
 func (nullStore) Restore([]byte) error                               { return nil }
-func (nullStore) Check([]byte) error { return nil }
+func (nullStore) Check([]byte) error                                 { return nil }
 
 // TestProposalsFailAfterLeadershipLoss checks that pending proposals fail with ErrOutcomeUnknown as soon as a leader
 // steps down because the other voters no longer answer. The leader sees no later term in this case.
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,6 +63,7 @@
 	idleSince   time.Time     // time at which it became idle
 	idleTimeout time.Duration // longest time that it may stay idle
 	dirty       bool          // bytes that belong to no request may still arrive
+	carried     carried       // requests that it has carried
 	closeOnce   sync.Once
 }
 
@@ -100,6 +102,7 @@
 
 // Message is a request to be written to an upstream.
 type Message struct {
+	ID      string // that answers name; empty if they name none
 	Method  string
 	Target  string // origin form
 	Host    string
@@ -125,7 +128,7 @@
 // Do sends m to address, opening at most maxConns connections to it; 0 sets no limit. Sent is false only if no byte was
 // handed to a socket. When ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, address string, maxConns int, m *Message) (r *Reply, sent bool, err error) {
-	pc, err := p.acquire(ctx, address, maxConns)
+	pc, err := p.acquire(ctx, address, maxConns, m.ID)
 	if err != nil {
 		return nil, false, errors.Annotatef(err, "connect to %s", address)
 	}
@@ -133,6 +136,7 @@
 		p.release(pc)
 		return nil, false, ErrNotAllowed
 	}
+	pc.carried.add(m.ID)
 	stopAfterFunc := context.AfterFunc(ctx, pc.close)
 	r = &Reply{pooledConn: pc, stopAfterFunc: stopAfterFunc}
 	if err := r.write(m); err != nil {
@@ -284,26 +288,26 @@
 	return poolIdleTimeout
 }
 
-// acquire returns a usable idle connection to address, or opens a new one.
-func (p *Pool) acquire(ctx context.Context, address string, maxConns int) (*pooledConn, error) {
+// acquire returns a usable idle connection to address that has not carried a request with this id, or opens a new one.
+func (p *Pool) acquire(ctx context.Context, address string, maxConns int, id string) (*pooledConn, error) {
 	for {
-		pc, full := p.popOrReserve(address, maxConns)
+		pc, full := p.popOrReserve(address, maxConns, id)
 		if full {
 			return nil, ErrTooManyConns
 		}
 		if pc == nil {
 			return p.dial(ctx, address)
 		}
-		if pc.usable(time.Now()) {
+		if pc.usable(time.Now()) && !pc.carried.has(id) {
 			return pc, nil
 		}
 		pc.close()
 	}
 }
 
-// popOrReserve removes and returns the most recently used idle connection. If there is none, it counts a new one that the
-// caller has to open. Full reports that maxConns are open already.
-func (p *Pool) popOrReserve(address string, maxConns int) (pc *pooledConn, full bool) {
+// popOrReserve removes and returns the most recently used idle connection that has not carried id. If there is none, it counts a new one
+// that the caller has to open, or, with maxConns open, returns an idle one to be closed for it. Full reports that maxConns are in use.
+func (p *Pool) popOrReserve(address string, maxConns int, id string) (pc *pooledConn, full bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hosts == nil {
@@ -314,11 +318,14 @@
 		h = &hostConns{}
 		p.hosts[address] = h
 	}
-	if n := len(h.idle); n > 0 {
-		pc, h.idle = h.idle[n-1], h.idle[:n-1]
-		return pc, false
+	atLimit := maxConns > 0 && h.openCount >= maxConns
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		if pc = h.idle[i]; !pc.carried.has(id) || atLimit && i == 0 {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return pc, false
+		}
 	}
-	if maxConns > 0 && h.openCount >= maxConns {
+	if atLimit {
 		return nil, true
 	}
 	h.openCount++
