Keep connections to few other VMs

Cause, from a profile of 60 entry VMs in one process with 100 upstreams and 10 requests/s a VM: 24% of the processor time is TLS handshakes and 22% QUIC connections. Each stream's origin went to VMs drawn by its request from all VMs of three data centres, so that every VM opened a connection to every other one, with a keep-alive a second for ever: the square of the VMs. Dials through other VMs, of which each crashed engine brings up to six, do the same.

Now one VM in eight of a data centre (three at least) holds origins, and a connection that carried nothing for 10 s is closed, not while a call or tunnel uses it.

Ruled out: the exchange of loads, rosters, reports and the log (2 to 5% each).

--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -20,6 +20,7 @@
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/lazy"
+	"wagtaillift/internal/modules/pause"
 )
 
 const (
@@ -27,6 +28,7 @@
 	idleTimeout       = 3 * time.Second
 	keepAliveInterval = time.Second
 	dialTimeout       = 2 * time.Second
+	unusedTimeout     = 10 * time.Second       // without a call after which a connection is closed
 	minRedialInterval = 200 * time.Millisecond // minimum time between a failed dial and the next one to the same address
 	maxMessageBytes   = 64 << 20
 	maxStreams        = 4096
@@ -87,6 +89,8 @@
 	handlers map[string]Handler
 	tunnels  map[string]tunnelHandler
 
+	unused time.Duration // after which an unused connection is closed
+
 	mu          sync.Mutex
 	connections map[string]*connection
 }
@@ -98,6 +102,17 @@
 	lastDial   time.Time
 	err        error        // result of the last dial
 	lastAnswer atomic.Int64 // Unix time in nanoseconds
+	lastUse    atomic.Int64 // the same, of the end of the latest call or tunnel
+	inUse      atomic.Int32 // calls and tunnels
+}
+
+// begin counts a call or tunnel on pc until done is called.
+func (pc *connection) begin() (done func()) {
+	pc.inUse.Add(1)
+	return func() {
+		pc.lastUse.Store(time.Now().UnixNano())
+		pc.inUse.Add(-1)
+	}
 }
 
 // New returns a transport that listens on address. It handles incoming calls once Serve runs.
@@ -110,7 +125,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for peers on %s", address)
 	}
-	t := &Transport{certs: certs, handlers: map[string]Handler{}, tunnels: map[string]tunnelHandler{}, connections: map[string]*connection{}}
+	t := &Transport{certs: certs, unused: unusedTimeout, handlers: map[string]Handler{}, tunnels: map[string]tunnelHandler{}, connections: map[string]*connection{}}
 	t.quic = &quic.Transport{Conn: conn}
 	t.listener, err = t.quic.Listen(certs.ServerConfig(alpnProtocol), quicConfig())
 	if err != nil {
@@ -153,6 +168,7 @@
 
 // Serve accepts connections and handles their calls until ctx ends.
 func (t *Transport) Serve(ctx context.Context) {
+	go pause.Every(ctx, t.unused/unusedChecks, func() { t.closeUnused(time.Now()) })
 	for {
 		conn, err := t.listener.Accept(ctx)
 		if err != nil {
@@ -162,6 +178,25 @@
 	}
 }
 
+// unusedChecks is how often connections are looked through within unusedTimeout.
+const unusedChecks = 5
+
+// closeUnused closes the connections to other VMs that carried nothing lately. Their keep-alives would cost each VM as much as there are
+// others that it once called, and the fleet the square.
+func (t *Transport) closeUnused(now time.Time) {
+	t.mu.Lock()
+	list := slices.Collect(maps.Values(t.connections))
+	t.mu.Unlock()
+	for _, pc := range list {
+		pc.mu.Lock()
+		if pc.conn != nil && pc.inUse.Load() == 0 && now.UnixNano()-pc.lastUse.Load() >= int64(t.unused) {
+			pc.conn.CloseWithError(codeCallEnded, "unused")
+			pc.conn = nil
+		}
+		pc.mu.Unlock()
+	}
+}
+
 // Close closes all connections and the socket.
 func (t *Transport) Close() {
 	t.listener.Close()
@@ -272,6 +307,7 @@
 	t.Stats.Calls.Add(1)
 	start := time.Now()
 	pc := t.connection(address)
+	defer pc.begin()()
 	conn, err := t.connect(ctx, pc, address)
 	if err != nil {
 		return nil, errors.WithType(err, ErrUnreachable)
--- a/internal/modules/peer/peer_test.go
+++ b/internal/modules/peer/peer_test.go
@@ -130,3 +130,26 @@
 	require.NoError(t, err)
 	require.Equal(t, "vm1:hi", got)
 }
+
+// Connections that carried nothing for a while are closed, and not while a call or a tunnel uses them.
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	ca := newCA(t, "one")
+	a, b := listen(t, vmCert(t, ca, "vm1", time.Now())), listen(t, vmCert(t, ca, "vm2", time.Now()))
+	echo := func() {
+		_, err := Call[string](t.Context(), a, b.Address(), "echo", "x")
+		require.NoError(t, err)
+	}
+	open := func() bool { return a.connection(b.Address()).conn != nil }
+	echo()
+	a.closeUnused(time.Now().Add(unusedTimeout / 2))
+	require.True(t, open())
+	tunnel, _, err := OpenTunnel[string](t.Context(), a, b.Address(), "open", b.Address())
+	require.NoError(t, err)
+	a.closeUnused(time.Now().Add(2 * unusedTimeout))
+	require.True(t, open(), "a tunnel uses it")
+	tunnel.Close()
+	a.closeUnused(time.Now().Add(2 * unusedTimeout))
+	require.False(t, open())
+	echo()
+	require.True(t, open())
+}
--- a/internal/modules/peer/tunnel.go
+++ b/internal/modules/peer/tunnel.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -80,15 +81,19 @@
 
 func (t *Transport) openTunnel(ctx context.Context, address string, c call) (*tunnel, []byte, error) {
 	t.Stats.Calls.Add(1)
-	conn, err := t.connect(ctx, t.connection(address), address)
+	pc := t.connection(address)
+	done := pc.begin()
+	conn, err := t.connect(ctx, pc, address)
 	if err != nil {
+		done()
 		return nil, nil, errors.WithType(err, ErrUnreachable)
 	}
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
+		done()
 		return nil, nil, errors.WithType(err, ErrUnreachable)
 	}
-	tn := &tunnel{Stream: s, conn: conn}
+	tn := &tunnel{Stream: s, conn: conn, done: sync.OnceFunc(done)}
 	stop := context.AfterFunc(ctx, func() { tn.Close() })
 	defer stop()
 	if err := t.writeMessage(s, c); err != nil {
@@ -123,6 +128,7 @@
 	*quic.Stream
 	conn *quic.Conn
 	r    io.Reader
+	done func()
 }
 
 // Read implements net.Conn.
@@ -132,6 +138,7 @@
 func (n *tunnel) Close() error {
 	n.CancelRead(codeTunnelClosed)
 	n.CancelWrite(codeTunnelClosed)
+	n.done()
 	return nil
 }
 
--- a/internal/services/origin/holders.go
+++ b/internal/services/origin/holders.go
@@ -13,19 +13,28 @@
 	maxCopyZones   = 3 // data centres that get a copy of an origin, the recording VM's own included
 	askedPerZone   = 2 // VMs of a data centre that are asked for an origin: the holder, and the next one in case its copy failed
 	maxHolderTries = 3 // VMs of a data centre to which a copy is sent until one confirms it
+	minHolders     = 3 // VMs of a data centre that hold copies, at least
+	vmsPerHolder   = 8 // in a large data centre, so that a VM keeps connections to few others
 )
 
-// ranking returns the VMs of each data centre other than self, the preferred holders of k first (rendezvous hashing, Thaler and
+// holders keeps the VMs of a data centre that hold copies: the same ones for all streams, chosen by the data centre's name.
+func holders(list []id.VM, z id.Zone) []id.VM {
+	n := max(minHolders, (len(list)+vmsPerHolder-1)/vmsPerHolder)
+	sortByRank(list, hash.String(z))
+	return list[:min(n, len(list))]
+}
+
+// ranking returns the holders of each data centre, without self, the preferred ones of k first (rendezvous hashing, Thaler and
 // Ravishankar 1998).
 func ranking(members map[id.VM]state.Member, self id.VM, k Key) map[id.Zone][]id.VM {
 	zones := map[id.Zone][]id.VM{}
 	for vm, m := range members {
-		if vm != self {
-			zones[m.Zone] = append(zones[m.Zone], vm)
-		}
+		zones[m.Zone] = append(zones[m.Zone], vm)
 	}
-	for _, list := range zones {
-		sortByRank(list, k)
+	for z, list := range zones {
+		list = slices.DeleteFunc(holders(list, z), func(vm id.VM) bool { return vm == self })
+		sortByRank(list, k.hash())
+		zones[z] = list
 	}
 	return zones
 }
@@ -38,16 +47,17 @@
 			list = append(list, z)
 		}
 	}
-	sortByRank(list, k)
+	sortByRank(list, k.hash())
 	if len(zones[own]) > 0 {
 		list = slices.Insert(list, 0, own)
 	}
 	return list[:min(len(list), maxCopyZones)]
 }
 
-// sortByRank sorts names by their rendezvous hash with k, the highest first.
-func sortByRank[T ~string](names []T, k Key) {
-	h := hash.Combine(hash.String(k.Customer), hash.String(k.Request))
+func (k Key) hash() uint64 { return hash.Combine(hash.String(k.Customer), hash.String(k.Request)) }
+
+// sortByRank sorts names by their rendezvous hash with h, the highest first.
+func sortByRank[T ~string](names []T, h uint64) {
 	slices.SortFunc(names, func(a, b T) int {
 		if d := cmp.Compare(hash.Combine(hash.String(b), h), hash.Combine(hash.String(a), h)); d != 0 {
 			return d
