Learn for how long an upstream keeps idle connections that it forgets without notice

Cause: a connection was kept for the time that the upstream names, or 20 s; the check before reuse sees only what has arrived.

Now two resets of kept connections, 100 ms or more apart and after a rest of 20 ms or more, bound the rest of this upstream's connections to half of the shortest for 30 s. A crash, which resets many at once, counts once.

--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -16,6 +16,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"wagtaillift/internal/modules/clock"
 )
 
 const (
@@ -51,6 +53,12 @@
 type hostConns struct {
 	idle      []*pooledConn // the most recently used last
 	openCount int
+	rest      restLimit
+}
+
+// unused reports whether h holds nothing that is needed further.
+func (h *hostConns) unused(now time.Duration) bool {
+	return h.openCount == 0 && len(h.idle) == 0 && !h.rest.known(now)
 }
 
 // pooledConn is one connection of a Pool.
@@ -64,6 +72,7 @@
 	idleTimeout time.Duration // longest time that it may stay idle
 	dirty       bool          // bytes that belong to no request may still arrive
 	carried     carried       // requests that it has carried
+	rested      time.Duration // before the present request; zero if it is the first
 	closeOnce   sync.Once
 }
 
@@ -140,10 +149,12 @@
 	stopAfterFunc := context.AfterFunc(ctx, pc.close)
 	r = &Reply{pooledConn: pc, stopAfterFunc: stopAfterFunc}
 	if err := r.write(m); err != nil {
+		p.noteReset(ctx, pc, err)
 		r.Close()
 		return nil, true, errors.Annotatef(cause(ctx, err), "write to %s", address)
 	}
 	if r.Response, err = pc.read(m); err != nil {
+		p.noteReset(ctx, pc, err)
 		r.Close()
 		return nil, true, errors.Annotatef(cause(ctx, err), "read from %s on a %s connection", address, pc.age())
 	}
@@ -291,23 +302,38 @@
 // acquire returns a usable idle connection to address that has not carried a request with this id, or opens a new one.
 func (p *Pool) acquire(ctx context.Context, address string, maxConns int, id string) (*pooledConn, error) {
 	for {
-		pc, full := p.popOrReserve(address, maxConns, id)
+		pc, limit, full := p.popOrReserve(address, maxConns, id)
 		if full {
 			return nil, ErrTooManyConns
 		}
 		if pc == nil {
 			return p.dial(ctx, address)
 		}
-		if pc.usable(time.Now()) && !pc.carried.has(id) {
+		pc.rested = time.Since(pc.idleSince)
+		if pc.usable(time.Now()) && !pc.carried.has(id) && (limit == 0 || pc.rested < limit) {
 			return pc, nil
 		}
 		pc.close()
 	}
 }
 
+// noteReset records that the upstream closed a kept connection in place of an answer.
+func (p *Pool) noteReset(ctx context.Context, pc *pooledConn, err error) {
+	closed := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if pc.rested == 0 || ctx.Err() != nil || !closed {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.hosts[pc.address]; ok {
+		h.rest.reset(clock.SinceBoot(), pc.rested)
+	}
+}
+
 // popOrReserve removes and returns the most recently used idle connection that has not carried id. If there is none, it counts a new one
-// that the caller has to open, or, with maxConns open, returns an idle one to be closed for it. Full reports that maxConns are in use.
-func (p *Pool) popOrReserve(address string, maxConns int, id string) (pc *pooledConn, full bool) {
+// that the caller has to open, or, with maxConns open, returns an idle one to be closed for it. Full reports that maxConns are in use. A
+// connection that rested for limit must not be used, unless limit is zero.
+func (p *Pool) popOrReserve(address string, maxConns int, id string) (pc *pooledConn, limit time.Duration, full bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hosts == nil {
@@ -318,18 +344,19 @@
 		h = &hostConns{}
 		p.hosts[address] = h
 	}
+	limit = h.rest.limit(clock.SinceBoot())
 	atLimit := maxConns > 0 && h.openCount >= maxConns
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		if pc = h.idle[i]; !pc.carried.has(id) || atLimit && i == 0 {
 			h.idle = slices.Delete(h.idle, i, i+1)
-			return pc, false
+			return pc, limit, false
 		}
 	}
 	if atLimit {
-		return nil, true
+		return nil, 0, true
 	}
 	h.openCount++
-	return nil, false
+	return nil, 0, false
 }
 
 // dial opens the connection to address that popOrReserve has counted.
@@ -369,7 +396,7 @@
 	defer p.mu.Unlock()
 	h := p.hosts[address]
 	h.openCount--
-	if h.openCount == 0 && len(h.idle) == 0 {
+	if h.unused(clock.SinceBoot()) {
 		delete(p.hosts, address)
 	}
 }
@@ -389,6 +416,9 @@
 			}
 		}
 		h.idle = kept
+		if h.unused(clock.SinceBoot()) {
+			delete(p.hosts, address)
+		}
 	}
 	p.mu.Unlock()
 	for _, pc := range expired {
