A VM finds the fleet past any number of addresses that are gone

Now the candidates are probed 100 ms apart, in their order of preference, and the first that answers and has a state is followed; the same for enrolling a disk. Without any answer it tries again at once instead of waiting for each. Test: TestFirstToAnswer (on synctest's clock): past four that are gone in 0.4 s; before, the first would be waited for.

--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -153,7 +153,7 @@
 func (a *Agent) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		attached := false
-		for _, addr := range a.relayCandidates() {
+		for _, addr := range a.reachable(ctx, a.relayCandidates()) {
 			if a.followFrom(ctx, addr) {
 				attached = true
 				break
@@ -250,7 +250,7 @@
 			pause.For(ctx, retryInterval)
 			continue
 		}
-		for _, addr := range a.relayCandidates() {
+		for _, addr := range a.reachable(ctx, a.relayCandidates()) {
 			a.relayAddress.Store(&addr)
 			q := enrollment{Node: a.node, Address: a.opt.Peer}
 			call, cancel := context.WithTimeout(ctx, a.timing.call())
