Tests: an upstream that is only silent keeps what runs on it

Operators' story: a machine that was only silent or slow to report for a while had its running work started again elsewhere, or given up. It cannot happen to a request here: nothing ends an attempt when an upstream leaves the list.

--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -113,6 +113,7 @@
 	activeRequests int      // completion requests that are being handled
 	workQueued     chan struct{}
 	stateChanged   chan struct{} // wakes announceLoop
+	stopAnnouncing context.CancelFunc
 	reportedLoad   engine.Load   // load as last reported, up to Options.Lag old
 	requestCounts  map[string]int
 	eventLog       eventLog
@@ -175,11 +176,13 @@
 	e.cache.clear()
 	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: time.Minute}
 	srv := e.server
+	announcing, stop := context.WithCancel(inner)
+	e.stopAnnouncing = stop
 	e.mu.Unlock()
 	go srv.Serve(l)
 	go e.schedule(inner)
 	go e.updateLoadLoop(inner)
-	go announceLoop(inner, e.opt.Announce, e.opt.Credential, e.stateChanged, e.announcement)
+	go announceLoop(announcing, e.opt.Announce, e.opt.Credential, e.stateChanged, e.announcement)
 	return nil
 }
 
@@ -215,6 +218,13 @@
 	e.faults = f
 }
 
+// StopAnnouncing stops the announcements; the engine keeps serving requests.
+func (e *Engine) StopAnnouncing() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopAnnouncing()
+}
+
 // announcement returns the current announcement, with the reported load.
 func (e *Engine) announcement() engine.Announcement {
 	e.mu.Lock()
--- a/internal/services/forward/silence_test.go
+++ b/internal/services/forward/silence_test.go
@@ -10,6 +10,7 @@
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/services/roster"
 )
 
 // An upstream that is slow but sound is only left if another one may take the call.
@@ -44,3 +45,29 @@
 		require.Len(t, s.up.targets, 2)
 	})
 }
+
+// An upstream that is only silent towards the fleet for a while keeps the request that runs on it.
+func TestSilentUpstreamKeepsItsRequest(t *testing.T) {
+	const heartbeats = 50 * time.Millisecond
+	s, out := newFixture(t), &fakeSink{}
+	s.Roster = roster.NewMultiZone("vm1", 1, heartbeats, func() {})
+	announce := func(name string) {
+		a := newAnnouncement(name, model, engine.Decode)
+		require.NoError(t, s.Roster.Announce(clock.SinceBoot(), a))
+	}
+	announce("e1")
+	s.up.steps = []sendResult{{status: 200, stream: true, body: "id: 1\ndata: x\n\n", pause: 10 * heartbeats, beforeWrite: func() {
+		go func() {
+			for range 10 {
+				time.Sleep(heartbeats / 2)
+				announce("e2")
+				s.Roster.Expire(clock.SinceBoot())
+			}
+		}()
+	}}}
+	require.NoError(t, s.Serve(context.Background(), newCall("/resumable/"), out))
+	require.Equal(t, "id: 1\ndata: x\n\n", out.body.String())
+	require.Len(t, s.up.targets, 1)
+	_, listed := s.Roster.Snapshot().Find("e1")
+	require.False(t, listed, "it is not silent")
+}
