An upstream that fails or never answers counts as failing; rests of connections are learnt over all upstreams

(1) Each VM learnt the rest of each upstream alone, from two resets: with 90 VMs and 95 upstreams that takes seconds. (2) Only broken attempts counted as failures: a 5xx answer counted as a success, and an attempt that the deadline ended counted as nothing, so that an engine that takes requests and never answers, or fails them all, went on to be chosen. No status check is asked for by any VM, so none puts an engine out or takes it back.

Now a 5xx answer is a failure, and so is an attempt without an answer after three times the objective, also if the deadline or the caller ends it; resets of connections to four different upstreams bound the rest for all.

Tests: TestFailedAnswersCount, TestHangingUpstreamCountsAsFailing (both failed before), TestCommonRest.

--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -47,6 +47,7 @@
 
 	mu    sync.Mutex
 	hosts map[string]*hostConns
+	rest  commonRest
 }
 
 // hostConns holds the connections to one address.
@@ -325,8 +326,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := clock.SinceBoot()
+	p.rest.resetBy(now, pc.rested, pc.address)
 	if h, ok := p.hosts[pc.address]; ok {
-		h.rest.reset(clock.SinceBoot(), pc.rested)
+		h.rest.reset(now, pc.rested)
 	}
 }
 
@@ -344,7 +347,8 @@
 		h = &hostConns{}
 		p.hosts[address] = h
 	}
-	limit = h.rest.limit(clock.SinceBoot())
+	now := clock.SinceBoot()
+	limit = shorter(h.rest.limit(now, restStrikes), p.rest.limit(now, commonStrikes))
 	atLimit := maxConns > 0 && h.openCount >= maxConns
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		if pc = h.idle[i]; !pc.carried.has(id) || atLimit && i == 0 {
--- a/internal/modules/upstream/rest_test.go
+++ b/internal/modules/upstream/rest_test.go
@@ -38,16 +38,30 @@
 func TestRestLimit(t *testing.T) {
 	const second = time.Second
 	var l restLimit
-	require.Zero(t, l.limit(second))
+	require.Zero(t, l.limit(second, restStrikes))
 	for range 5 { // a crash resets all connections of an upstream at once
 		l.reset(second, 300*time.Millisecond)
 	}
-	require.Zero(t, l.limit(second))
+	require.Zero(t, l.limit(second, restStrikes))
 	l.reset(2*second, 200*time.Millisecond)
-	require.Equal(t, 100*time.Millisecond, l.limit(2*second))
-	require.Zero(t, l.limit(2*second+restRetention), "it is tried again")
+	require.Equal(t, 100*time.Millisecond, l.limit(2*second, restStrikes))
+	require.Zero(t, l.limit(2*second+restRetention, restStrikes), "it is tried again")
 	l = restLimit{}
 	l.reset(0, minRest/2)
 	l.reset(second, minRest/2)
-	require.Zero(t, l.limit(second), "a connection that hardly rested was reset for another reason")
+	require.Zero(t, l.limit(second, restStrikes), "a connection that hardly rested was reset for another reason")
+}
+
+func TestCommonRest(t *testing.T) {
+	var one, many commonRest
+	for i := range commonStrikes {
+		now := time.Duration(i+1) * time.Second
+		one.resetBy(now, time.Second, "a")
+		many.resetBy(now, time.Second, string(rune('a'+i)))
+	}
+	end := commonStrikes * time.Second
+	require.Zero(t, one.limit(end, commonStrikes), "one upstream shows nothing of others")
+	require.Equal(t, time.Second/2, many.limit(end, commonStrikes))
+	require.Equal(t, time.Second, shorter(0, time.Second))
+	require.Equal(t, time.Second, shorter(time.Second, time.Minute))
 }
--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -114,7 +114,7 @@
 	workQueued     chan struct{}
 	stateChanged   chan struct{} // wakes announceLoop
 	stopAnnouncing context.CancelFunc
-	reportedLoad   engine.Load   // load as last reported, up to Options.Lag old
+	reportedLoad   engine.Load // load as last reported, up to Options.Lag old
 	requestCounts  map[string]int
 	eventLog       eventLog
 	stats          Stats
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -237,7 +237,7 @@
 		err = f.forwardPlain(c, sel, p, a, out)
 	}
 	if err == nil || errors.Is(err, ErrCallerGone) || errors.Is(err, errFailureKept) {
-		sel.u.Stats.RecordOutcome(false)
+		sel.u.Stats.RecordOutcome(a.Status/100 == 5)
 		if err == nil && a.Status/100 == 2 {
 			f.recordAnswer(c, sel, a)
 		}
@@ -301,6 +301,8 @@
 	// Neither the caller nor the deadline ended the attempt.
 	stillWanted := ctx.Err() == nil || errors.Is(err, errSilent)
 	switch {
+	case sent && !stillWanted && !p.answerBegun && f.hung(c, sel):
+		sel.u.Stats.RecordOutcome(true)
 	case errors.Is(err, upstream.ErrNotAllowed) || errors.Is(err, upstream.ErrTooManyConns) || !stillWanted:
 	case !sent:
 		sel.u.Stats.RecordOutcome(true)
@@ -313,6 +315,12 @@
 	return &attemptError{err: err, sent: sent}
 }
 
+// hung reports whether c waited at the upstream of sel for so long without an answer that the upstream, not the caller or the deadline, is
+// the reason for its end.
+func (f *Forwarder) hung(c *Call, sel *selection) bool {
+	return c.route.Objective > 0 && clock.SinceBoot()-sel.sentAt >= scaleDuration(c.route.Objective, firstEventTimeoutFactor)
+}
+
 // causeOf returns the cause of a context's cancellation as a constant error.
 func causeOf(cause error) errors.ConstError {
 	if errors.Is(cause, errSilent) {
--- a/internal/services/forward/silence_test.go
+++ b/internal/services/forward/silence_test.go
@@ -71,3 +71,32 @@
 	_, listed := s.Roster.Snapshot().Find("e1")
 	require.False(t, listed, "it is not silent")
 }
+
+// An upstream that takes a request and never answers has failed it, although the deadline ends the attempt.
+func TestHangingUpstreamCountsAsFailing(t *testing.T) {
+	for name, c := range map[string]struct {
+		timeout time.Duration
+		want    bool
+	}{"far over the objective": {1700 * time.Millisecond, true}, "the caller had little time": {200 * time.Millisecond, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, q := newFixture(t, sendResult{hangs: true}), newCall("/unsafe/")
+			q.CallerTimeout = c.timeout
+			require.Error(t, s.Serve(context.Background(), q, &fakeSink{}))
+			u, ok := s.Roster.Snapshot().Find(s.up.targets[0].Upstream)
+			require.True(t, ok)
+			require.Equal(t, c.want, u.Stats.FailureRate() > 0)
+		})
+	}
+}
+
+// An upstream that answers with failures while others do not is the worse choice, whatever its status check says.
+func TestFailedAnswersCount(t *testing.T) {
+	for status, want := range map[int]bool{500: true, 200: false, 404: false} {
+		s := newFixture(t, sendResult{status: status})
+		require.NoError(t, s.Serve(context.Background(), newCall("/unsafe/"), &fakeSink{}))
+		u, ok := s.Roster.Snapshot().Find(s.up.targets[0].Upstream)
+		require.True(t, ok)
+		require.Equal(t, want, u.Stats.FailureRate() > 0, status)
+	}
+}
