--- a/internal/services/order/duty_test.go
+++ b/internal/services/order/duty_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,7 +69,7 @@
 	name         id.VM
 	incarnation  id.Incarnation
 	rate         float64
-	wall         time.Duration // error of its time of day
+	wall         atomic.Int64 // error of its time of day, in nanoseconds
 	thawed, heal time.Time
 }
 
@@ -199,7 +200,7 @@
 		r.Announce(time.Hour, engine.Announcement{Name: "e1", Zone: "a", Address: "e1", State: engine.Ready, Model: "m", Role: engine.Both, KVBlocks: 1})
 		x := New(Options{
 			ControlPlane: v, Roster: r, PlatformClient: v, Engines: v, Window: time.Second, Lease: dutyLease, SinceBoot: v.sinceBoot,
-			Now: func(now time.Duration) time.Time { return v.start.Add(now + v.wall) },
+			Now: func(now time.Duration) time.Time { return v.start.Add(now + time.Duration(v.wall.Load())) },
 		})
 		x.waits = v.waits
 		ctx, cancel := context.WithTimeout(end, time.Second+v.draw(dutyLength/2))
@@ -218,7 +219,7 @@
 		})
 		for ctx.Err() == nil {
 			time.Sleep(v.draw(dutyLength / 4))
-			v.wall = v.draw(10*time.Second) - 5*time.Second
+			v.wall.Store(int64(v.draw(10*time.Second) - 5*time.Second))
 			v.set([]*time.Time{&v.thawed, &v.heal}[v.draw(2)], v.draw(longestFault))
 		}
 		if v.draw(2) == 0 && end.Err() == nil {
@@ -286,7 +287,7 @@
 		defer cancel()
 		var wg sync.WaitGroup
 		for i := range dutyVMCount {
-			v := &dutyVM{dutySim: s, name: id.VM(fmt.Sprint("vm", i)), rate: 1 + (s.rnd.Float64()-0.5)*lease.MaxClockDrift}
+			v := &dutyVM{dutySim: s, name: id.VM(fmt.Sprint("vm", i)), rate: 1 + (s.draw(time.Second).Seconds()-0.5)*lease.MaxClockDrift}
 			wg.Go(func() { v.live(end) })
 		}
 		s.expireLeases(end)
