--- a/cmd/report.go
+++ b/cmd/report.go
@@ -15,7 +15,8 @@
 )
 
 type reportArgs struct {
-	Burn *reportBurn `arg:"subcommand:burn" help:"show how fast the error budgets burn"`
+	Burn    *reportBurn    `arg:"subcommand:burn" help:"show how fast the error budgets burn"`
+	Traffic *reportTraffic `arg:"subcommand:traffic" help:"show what VMs send each other, by kind of call"`
 }
 
 type reportBurn struct {
@@ -26,10 +27,13 @@
 }
 
 func (a *reportArgs) run(ctx context.Context, out io.Writer) error {
-	if a.Burn == nil {
-		return exitErrorf(ExitUsage, "report needs the subcommand burn")
+	switch {
+	case a.Burn != nil:
+		return a.Burn.run(ctx, out)
+	case a.Traffic != nil:
+		return a.Traffic.run(ctx, out)
 	}
-	return a.Burn.run(ctx, out)
+	return exitErrorf(ExitUsage, "report needs the subcommand burn or traffic")
 }
 
 func (a *reportBurn) run(ctx context.Context, out io.Writer) error {
