Emulator: second answers, failures, hangs and stalled streams; who acted at the platform

The emulated engines learn four faults of the operators' stories: again (a second copy of the answer, late, on its connection), fail, hang and drip. Acts, the record of a platform that accepts every fencing number, moves from the test of duties into the emulator, whose stats show the first call out of order. The test of duties checks the same as before with it.

--- a/internal/routers/vm/vm_test.go
+++ b/internal/routers/vm/vm_test.go
@@ -31,7 +31,7 @@
 func TestAnswersUnderEngineFaults(t *testing.T) {
 	f := newFleet(t, 3)
 	for i := range 6 {
-		f.startEngine(i, emulate.Faults{Truncated: 0.1, Late: 0.02, WrongID: 0.05, Reset: 0.05})
+		f.startEngine(i, emulate.Faults{Truncated: 0.1, Late: 0.02, WrongID: 0.05, Reset: 0.05, Again: 0.1, Fail: 0.02})
 	}
 	f.waitForUpstreams(6)
 	opt := load.Options{
--- a/internal/services/emulate/app.go
+++ b/internal/services/emulate/app.go
@@ -242,6 +242,7 @@
 	Conflicts int  // repeated reports of a window whose usage differs from the first
 	Stale     int  // reports with a lower fencing token than an earlier report
 	Refuse    bool // answer reports with status 503
+	Acts      Acts // reports by the VMs that hold the lease
 }
 
 // ServeHTTP implements http.Handler. It serves POST /v1/usage and GET /emulate/stats.
@@ -253,7 +254,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		json.NewEncoder(w).Encode(map[string]any{
-			"windows": len(p.windows), "conflicts": p.Conflicts, "stale": p.Stale, "sum": p.sum,
+			"windows": len(p.windows), "conflicts": p.Conflicts, "stale": p.Stale, "sum": p.sum, "broken": p.Acts.Broken(0),
 		})
 	default:
 		http.NotFound(w, r)
@@ -287,6 +288,7 @@
 	if p.windows == nil {
 		p.windows, p.sum = map[id.Window]string{}, map[string]usage.Count{}
 	}
+	p.Acts.Add("usage", Act{Fence: q.Fence, At: time.Now()})
 	if q.Fence < p.fence {
 		p.Stale++
 	}
--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -50,16 +50,6 @@
 	return t
 }
 
-// Faults holds the probability of each fault per request, the prompt text that crashes the engine, and the limit that it names.
-type Faults struct {
-	Truncated float64 `json:"cut"`   // the stream is truncated: it ends without its end event
-	Late      float64 `json:"late"`  // the answer starts after lateDelay
-	WrongID   float64 `json:"cross"` // the answer carries the ID of another request
-	Reset     float64 `json:"reset"` // the connection is reset before the answer
-	Crash     string  `json:"crash"` // a prompt that contains this text crashes the engine; empty for none
-	Limit     float64 `json:"limit"` // requests a second that the engine names as its limit; 0 names none
-}
-
 // Options configures an Engine.
 type Options struct {
 	Announcement engine.Announcement
@@ -76,8 +66,7 @@
 const (
 	maxRunning       = 64 // sequences in one batch
 	maxQueued        = 512
-	cacheDivisor     = 2                      // the prefix cache takes 1/cacheDivisor of the KV memory
-	lateDelay        = 300 * time.Millisecond // delay of a late answer
+	cacheDivisor     = 2 // the prefix cache takes 1/cacheDivisor of the KV memory
 	pollInterval     = 10 * time.Millisecond
 	maxRequestCounts = 1 << 20 // request IDs that are counted before the counts are cleared
 )
@@ -174,7 +163,7 @@
 	e.announced.State, e.crashed = engine.Ready, false
 	e.queue, e.running, e.usedKVBlocks = nil, nil, 0
 	e.cache.clear()
-	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: time.Minute}
+	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: time.Minute, ConnContext: withConn}
 	srv := e.server
 	announcing, stop := context.WithCancel(inner)
 	e.stopAnnouncing = stop
--- a/internal/services/emulate/http.go
+++ b/internal/services/emulate/http.go
@@ -76,24 +76,6 @@
 	return sb.String()
 }
 
-// faultDraw holds the randomly selected faults of one request.
-type faultDraw struct {
-	truncate, late, wrongID, reset, crash bool
-	truncateAt                            int // number of tokens after which a truncated answer ends
-}
-
-// drawFaults selects the faults of a request by the probabilities of the engine's Faults.
-func (e *Engine) drawFaults(prompt string, maxTokens int) faultDraw {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	f := e.faults
-	return faultDraw{
-		truncate: e.rng.Float64() < f.Truncated, late: e.rng.Float64() < f.Late, wrongID: e.rng.Float64() < f.WrongID,
-		reset: e.rng.Float64() < f.Reset, truncateAt: 1 + e.rng.IntN(max(1, maxTokens)),
-		crash: f.Crash != "" && strings.Contains(prompt, f.Crash),
-	}
-}
-
 // generate handles a completion request; chat selects the chat format of the answer.
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request, chat bool) {
 	rid := r.Header.Get(headerRequest)
@@ -118,11 +100,8 @@
 	b := call.ModelBody{Messages: q.Messages, Prompt: q.Prompt}
 	prompt := b.Text()
 	d := e.drawFaults(prompt, q.MaxTokens)
-	if d.reset {
-		panic(http.ErrAbortHandler)
-	}
-	if d.late {
-		time.Sleep(lateDelay)
+	if !d.begin(w, r) {
+		return
 	}
 	s := e.newSequence(r, &q, prompt)
 	if !e.submit(s) {
@@ -187,6 +166,7 @@
 					panic(http.ErrAbortHandler) // the sequence was cancelled
 				}
 				io.WriteString(w, endEvent(st, q, s))
+				st.faultDraw.end(st.request)
 				return
 			}
 			if sent++; st.faultDraw.truncate && sent > st.faultDraw.truncateAt {
@@ -194,6 +174,9 @@
 			}
 			io.WriteString(w, tokenEvent(st, n))
 			f.Flush()
+			if st.faultDraw.drip {
+				dripComments(ctx, w, f, s)
+			}
 		case <-ctx.Done():
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/services/order/duty_test.go
+++ b/internal/services/order/duty_test.go
@@ -21,6 +21,7 @@
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/testseed"
+	"wagtaillift/internal/services/emulate"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -40,20 +41,12 @@
 // stopped and started again; their clocks drift and step; calls are under way for up to tcpUserTimeout. The platform and the engine accept
 // everything.
 type dutySim struct {
-	log      sharedLog
-	mu       sync.Mutex
-	rnd      *rand.Rand
-	start    time.Time
-	waits    waits
-	arrivals map[string][]arrival // by subject
-}
-
-// arrival is a call that reached the platform or the engine.
-type arrival struct {
-	holder  id.VM
-	fence   id.Fence
-	at      time.Time
-	excused bool
+	log   sharedLog
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	start time.Time
+	waits waits
+	acts  emulate.Acts
 }
 
 // draw returns a random duration below d.
@@ -135,15 +128,13 @@
 	excused := func() bool {
 		return time.Since(v.get(&v.thawed)) < afterFault || time.Since(v.get(&v.heal)) < afterFault
 	}
-	a, answered := arrival{holder: v.name, fence: f, excused: excused()}, make(chan bool, 1)
+	a, answered := emulate.Act{Holder: v.name, Fence: f, Excused: excused()}, make(chan bool, 1)
 	go func() {
 		if !v.travel() {
 			return
 		}
-		a.at, a.excused = time.Now(), a.excused || excused()
-		v.mu.Lock()
-		v.arrivals[subject] = append(v.arrivals[subject], a)
-		v.mu.Unlock()
+		a.At, a.Excused = time.Now(), a.Excused || excused()
+		v.acts.Add(subject, a)
 		answered <- v.travel()
 	}()
 	select {
@@ -254,35 +245,10 @@
 
 const dutyInterval = 50 * time.Millisecond // of the leader
 
-// violation returns the first call of a subject that came after one of a later holder, or within dutyLease after a call of the same holder
-// with one of another holder between them.
-func violation(list []arrival) string {
-	var counted []arrival
-	for _, a := range list {
-		if !a.excused {
-			counted = append(counted, a)
-		}
-	}
-	for i, a := range counted {
-		other := false
-		for j := i - 1; j >= 0; j-- {
-			b := counted[j]
-			if b.fence > a.fence {
-				return fmt.Sprintf("%s acted with fence %d after %s with %d", a.holder, a.fence, b.holder, b.fence)
-			}
-			if b.holder == a.holder && other && a.at.Sub(b.at) < dutyLease {
-				return fmt.Sprintf("%s acted, another VM, and %s again within %s", a.holder, a.holder, a.at.Sub(b.at))
-			}
-			other = other || b.holder != a.holder
-		}
-	}
-	return ""
-}
-
 // playDuties plays one schedule and returns what was violated, and the number of calls.
 func playDuties(t *testing.T, seed uint64, w waits) (broken []string, calls int) {
 	synctest.Test(t, func(*testing.T) {
-		s := &dutySim{log: sharedLog{machine: state.New()}, rnd: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), waits: w, arrivals: map[string][]arrival{}}
+		s := &dutySim{log: sharedLog{machine: state.New()}, rnd: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), waits: w}
 		end, cancel := context.WithTimeout(context.Background(), dutyLength)
 		defer cancel()
 		var wg sync.WaitGroup
@@ -293,12 +259,7 @@
 		s.expireLeases(end)
 		wg.Wait()
 		time.Sleep(4 * longestFault) // until the last calls have arrived
-		for subject, list := range s.arrivals {
-			calls += len(list)
-			if x := violation(list); x != "" {
-				broken = append(broken, subject+": "+x)
-			}
-		}
+		broken, calls = s.acts.Broken(dutyLease), s.acts.Len()
 	})
 	return broken, calls
 }
