--- a/cmd/load.go
+++ b/cmd/load.go
@@ -15,6 +15,7 @@
 )
 
 type loadArgs struct {
+	loadTrouble
 	Targets      []string      `arg:"--target,separate,required" help:"base URL of a VM's listener for callers; may be given more than once"`
 	Model        string        `arg:"--model" default:"verdict"`
 	App          string        `arg:"--app" default:"booking"`
@@ -51,14 +52,27 @@
 		}
 		opt.Customers = append(opt.Customers, cust)
 	}
+	if err := a.check(a.Duration); err != nil {
+		return err
+	}
 	arrivals, err := a.arrivals(opt.Customers)
 	if err != nil {
 		return err
 	}
 	start := time.Now()
+	var struck <-chan error
+	if a.Control != "" {
+		struck = a.strike(ctx, a.Seed)
+	}
 	outcomes := load.Run(ctx, opt, arrivals)
 	elapsed := time.Since(start)
 	result := load.Summarize(&opt, outcomes, elapsed)
+	if struck != nil {
+		if err := <-struck; err != nil {
+			return err
+		}
+		a.judge(&opt, &result, outcomes, a.Duration)
+	}
 	result.WriteLines(out, a.FigurePrefix)
 	return a.writeResults(result, outcomes)
 }
--- a/internal/services/emulate/engine.go
+++ b/internal/services/emulate/engine.go
@@ -103,6 +103,8 @@
 	workQueued     chan struct{}
 	stateChanged   chan struct{} // wakes announceLoop
 	stopAnnouncing context.CancelFunc
+	usualFaults    Faults // while troubles is above 0
+	troubles       int
 	reportedLoad   engine.Load // load as last reported, up to Options.Lag old
 	requestCounts  map[string]int
 	eventLog       eventLog
--- a/internal/services/emulate/events.go
+++ b/internal/services/emulate/events.go
@@ -86,12 +86,14 @@
 // Group holds the engines of one process, so that they can be controlled together.
 type Group struct{ Engines []*Engine }
 
-// ServeHTTP implements http.Handler. POST /reclaim?zone=Z&notice=2s&back=10s reclaims the cheap engines of a zone, and
-// GET /stats returns the sums of the engines' statistics.
+// ServeHTTP implements http.Handler. POST /reclaim?zone=Z&notice=2s&back=10s reclaims the cheap engines of a zone,
+// POST /trouble gives a share of the engines faults for a time, and GET /stats returns the sums of the engines' statistics.
 func (g *Group) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method + " " + r.URL.Path {
 	case "POST /reclaim":
 		g.reclaim(w, r)
+	case "POST /trouble":
+		g.trouble(w, r)
 	case "GET /stats":
 		json.NewEncoder(w).Encode(g.stats())
 	default:
--- a/internal/services/emulate/faults.go
+++ b/internal/services/emulate/faults.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 )
 
@@ -26,6 +27,21 @@
 	Limit     float64 `json:"limit"` // requests a second that the engine names as its limit; 0 names none
 }
 
+// check returns an error that names a probability which is none.
+func (f *Faults) check() error {
+	for name, v := range map[string]float64{
+		"cut": f.Truncated, "late": f.Late, "cross": f.WrongID, "reset": f.Reset, "again": f.Again, "fail": f.Fail, "hang": f.Hang, "drip": f.Drip,
+	} {
+		if v < 0 || v > 1 {
+			return errors.NotValidf("faults: %s of %g (from 0 to 1)", name, v)
+		}
+	}
+	if f.Limit < 0 {
+		return errors.NotValidf("faults: limit of %g (0 or more)", f.Limit)
+	}
+	return nil
+}
+
 const (
 	lateDelay    = 300 * time.Millisecond // delay of a late answer
 	againDelay   = 20 * time.Millisecond  // between the end of an answer and its second copy
