A crash is recorded when its check returns, also for a second call that found it

Trace from its log: request IXTJ… and a neighbour lost engine2 at 32.7227 and 32.7260. The neighbour's check took the watched requests out of the list and recorded them 0.3 ms later; in between IXTJ's own check found none watched, saw no second crash, and let the request be tried again. It was refused at 33.0909, before its send, where it is no longer known that it ran. In general such a request may reach one more upstream.

Now taking the watched requests out and recording them is one step. Ruled out: the check for a gone process (both calls had the refused connection), the merge of reports of two VMs.

--- a/internal/services/quarantine/detector.go
+++ b/internal/services/quarantine/detector.go
@@ -164,23 +164,32 @@
 	d.crashed(incarnation{n, number}, checkReported)
 }
 
-// crashed records the watched requests of an incarnation as suspects.
+// crashed records the watched requests of an incarnation as suspects. When it returns they are recorded, also by another call that found
+// the same crash.
 func (d *Detector) crashed(k incarnation, reason string) {
-	d.mu.Lock()
-	w, ok := d.watched[k]
-	delete(d.watched, k)
-	d.mu.Unlock()
+	w, r, ok := d.recordWatched(k)
 	if !ok {
 		return
 	}
+	klog.InfoS("Upstream crashed", "upstream", k.name, "incarnation", k.number, "address", w.u.Address, "reason", reason,
+		"requests", len(r.Runs), "crashes", d.List.Describe(r), "parts", d.List.DescribeParts(r))
+	d.share(r)
+}
+
+// recordWatched records the watched requests of k as suspects, and watches them no more. It returns false if there are none.
+func (d *Detector) recordWatched(k incarnation) (w *watched, r suspect.Report, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w, ok = d.watched[k]
+	if !ok {
+		return nil, r, false
+	}
+	delete(d.watched, k)
 	var runs []Run
 	for _, run := range w.runs {
 		runs = append(runs, run.Run)
 	}
-	r := d.List.RecordCrash(clock.SinceBoot(), k.name, k.number, runs)
-	klog.InfoS("Upstream crashed", "upstream", k.name, "incarnation", k.number, "address", w.u.Address, "reason", reason,
-		"requests", len(r.Runs), "crashes", d.List.Describe(r), "parts", d.List.DescribeParts(r))
-	d.share(r)
+	return w, d.List.RecordCrash(clock.SinceBoot(), k.name, k.number, runs), true
 }
 
 func (d *Detector) share(r suspect.Report) {
--- a/internal/services/quarantine/detector_test.go
+++ b/internal/services/quarantine/detector_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,3 +163,25 @@
 	d.Check(clock.SinceBoot() + watchTime)
 	require.Empty(t, d.watched)
 }
+
+// Of two requests that find the same crash at once, both must see it recorded: one that does not would be sent to a further upstream.
+func TestCrashIsRecordedOnceConfirmed(t *testing.T) {
+	u := &roster.Upstream{Announcement: engine.Announcement{Name: "u", Incarnation: 1}, Stats: &roster.Stats{}}
+	const print = Fingerprint(7)
+	var missed atomic.Int32
+	for range 5000 {
+		d := &Detector{List: &List{}}
+		d.Ended(clock.SinceBoot(), u, Run{Request: Request{Print: print}})
+		var wg sync.WaitGroup
+		for range 2 {
+			wg.Go(func() {
+				d.Confirm(u.Name, u.Incarnation)
+				if !d.List.IsSuspect(print) {
+					missed.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	require.Zero(t, missed.Load())
+}
