Test of stalled streams waits for its writer

Cause: the test's writer sleeps between two comments; the stream ends at an instant at which the writer may have gone to sleep again, and the clock of synctest stands still once the test function has returned. A fault of the test: nothing of the product is left waiting. Now the test function ends the writer and waits for it; what it asserts is unchanged.

Ruled out: the silence timer (stopped or fired in every run), the pool of read buffers.

--- a/internal/services/dispatch/silence_test.go
+++ b/internal/services/dispatch/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,13 +21,18 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		body, w := io.Pipe()
 		context.AfterFunc(ctx, func() { body.CloseWithError(ctx.Err()) })
-		go func() {
+		var writer sync.WaitGroup
+		defer func() { // the clock stands still once the test function has returned
+			cancel()
+			writer.Wait()
+		}()
+		writer.Go(func() {
 			io.WriteString(w, tokenEvent("r1", 1))
 			for ctx.Err() == nil {
 				time.Sleep(time.Second)
 				io.WriteString(w, ": wait\n\n")
 			}
-		}()
+		})
 		start := time.Now()
 		silence := newSilenceTimer(func(bool) bool {
 			cancel()
