A VM confirms the crash of an upstream that it has dropped

Trace (with a log line for each probe, on a copy): the VM whose request crashed engine2 was refused by it, asked the other VM to confirm, and was told that no other VM reached the upstream; three times, 27 ms apart. The other VM had noticed the crash a few ms before and had taken the engine out of its list, so that it answered 'unknown' without a connection attempt. The refusal stayed unconfirmed, the crash did not count, and the request was let go on to a further upstream; only the list of crashes of a neighbour's check stopped it right before the send.

Now a VM that is asked knows all upstreams that are announced, also those whose crash it has noticed, and tries the connection itself.

--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -184,7 +184,7 @@
 	a := v.authority
 	v.tunnels = &tunnel.Service{
 		VM: a.VM(), Zone: a.Zone(), Transport: v.transport, Dialer: &v.dialer, Members: a.State().Members, Entry: v.sharesUpstreams,
-		Known: func(address string) bool { return v.roster.Snapshot().HasAddress(address) }, Stopping: v.stopping.Load,
+		Known: v.roster.HasAddress, Stopping: v.stopping.Load,
 	}
 	v.tunnels.Register()
 	v.dialer.Relay = v.tunnels.Open
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -55,11 +55,6 @@
 	return nil, false
 }
 
-// HasAddress reports whether an upstream that accepts new requests has the address.
-func (s *Snapshot) HasAddress(address string) bool {
-	return slices.ContainsFunc(s.All, func(u *Upstream) bool { return u.Address == address })
-}
-
 // Roster is the list of known upstreams. It is safe for concurrent use; Snapshot takes no lock.
 type Roster struct {
 	vm               id.VM
@@ -228,6 +223,26 @@
 	r.rebuild(now)
 }
 
+// HasAddress reports whether an upstream is announced at address, also one that has crashed: a VM that has noticed the crash can confirm it
+// to others.
+func (r *Roster) HasAddress(address string) bool {
+	at := func(u *Upstream) bool { return u.Address == address }
+	if slices.ContainsFunc(r.Snapshot().All, at) {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ownList.hasAddress(address) {
+		return true
+	}
+	for _, p := range r.peers {
+		if p.hasAddress(address) {
+			return true
+		}
+	}
+	return false
+}
+
 // Leaving reports whether n has been announced as leaving.
 func (r *Roster) Leaving(n id.Upstream) bool {
 	r.mu.Lock()
--- a/internal/services/roster/update.go
+++ b/internal/services/roster/update.go
@@ -35,6 +35,16 @@
 	list       map[id.Upstream]*entry
 }
 
+// hasAddress reports whether an upstream of the list is announced at address.
+func (p *peerList) hasAddress(address string) bool {
+	for _, e := range p.list {
+		if e.announcement.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // entry is an announcement in a list.
 type entry struct {
 	announcement engine.Announcement
