In a large fleet the replicated log alone tells of crashes

From second 14 on requests are refused with 'this VM is cut off from the configuration' (141 of 258 in two seconds), VM leases expire.

Cause: each VM that notices a crash, and each that completes a request which ran on a crashed upstream, sent a message to each of the 199 other VMs. 29 crashes of 16 requests are some 900 reports, 180,000 messages, and as a VM keeps connections to few others nearly each message is a handshake of QUIC, on 0.192 cores. The replicated log carries the same reports to every VM anyway.

Now the messages that go ahead of the log are sent only where there are 16 other VMs or fewer. A VM finds a crash that others noticed in the log at its next check, at most 0.5 s later, before it heard of it by message (TestCommittedCrashIsFound failed before). Ruled out: sending to control VMs that pass the reports on (the feed of the log does the same, batched).

--- a/internal/models/suspect/suspect.go
+++ b/internal/models/suspect/suspect.go
@@ -92,6 +92,11 @@
 	return next[max(0, len(next)-maxCrashes):]
 }
 
+// Includes reports whether r has a crash of an incarnation of u.
+func (r Record) Includes(u id.Upstream, incarnation uint64) bool {
+	return slices.ContainsFunc(r, func(c Crash) bool { return c.Upstream == u && c.Incarnation == incarnation })
+}
+
 // After returns the crashes later than t.
 func (r Record) After(t Millis) Record {
 	i := slices.IndexFunc(r, func(c Crash) bool { return c.At > t })
--- a/internal/routers/vm/quarantine.go
+++ b/internal/routers/vm/quarantine.go
@@ -42,10 +42,14 @@
 	})
 }
 
-// broadcastSuspects sends r to every other VM without waiting for the answers, because the request may come next in another
-// data centre.
+// broadcastSuspects sends r to every other VM of a small fleet without waiting for the answers, because the request may come next in
+// another data centre. In a large one the replicated log alone brings it.
 func (v *VM) broadcastSuspects(r suspect.Report) {
-	for _, to := range v.peerAddresses(func(state.Member) bool { return true }) {
+	list := v.peerAddresses(func(state.Member) bool { return true })
+	if !quarantine.AheadOfLog(len(list)) {
+		return
+	}
+	for _, to := range list {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 			defer cancel()
--- a/internal/services/quarantine/detector.go
+++ b/internal/services/quarantine/detector.go
@@ -203,7 +203,7 @@
 	for _, w := range d.expire(now) {
 		k := incarnationOf(w.u)
 		switch result := judge(d.view(w.u)); result {
-		case checkReplaced:
+		case checkReplaced, checkReported:
 			logCheck(w.u, result)
 			d.crashed(k, result)
 		case checkLeft:
@@ -259,13 +259,14 @@
 // view is what the roster tells of an incarnation.
 type view struct {
 	leaving   bool // it has announced its departure
+	reported  bool // the replicated log has a report of its crash
 	replaced  bool // a later incarnation has its name or address
 	listed    bool // its heartbeats arrive
 	zoneHeard bool // heartbeats of other upstreams in its data centre arrive
 }
 
 func (d *Detector) view(u *roster.Upstream) view {
-	v := view{leaving: d.Roster.Leaving(u.Name)}
+	v := view{leaving: d.Roster.Leaving(u.Name), reported: d.List.CrashCommitted(u.Name, u.Incarnation)}
 	for _, o := range d.Roster.Snapshot().All {
 		switch {
 		case o.Name == u.Name && o.Incarnation == u.Incarnation:
@@ -285,6 +286,8 @@
 	switch {
 	case v.leaving:
 		return checkLeft
+	case v.reported:
+		return checkReported
 	case v.replaced:
 		return checkReplaced
 	case !v.listed && v.zoneHeard:
--- a/internal/services/quarantine/detector_test.go
+++ b/internal/services/quarantine/detector_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/models/engine"
+	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/roster"
@@ -27,6 +29,7 @@
 		"silent":                            {view{zoneHeard: true}, checkSilent},
 		"its whole data centre is silent":   {view{}, ""},
 		"left, another one has its address": {view{leaving: true, replaced: true}, checkLeft},
+		"a crash in the log":                {view{reported: true, listed: true, zoneHeard: true}, checkReported},
 	} {
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, judge(c.v)) })
 	}
@@ -185,3 +188,32 @@
 	}
 	require.Zero(t, missed.Load())
 }
+
+// In a large fleet no message tells of a crash that another VM noticed: the log does.
+func TestCommittedCrashIsFound(t *testing.T) {
+	d := newDetector(t, listen(t).Addr().String())
+	d.end()
+	committed := suspect.Table{}
+	d.List.Committed = func() suspect.Table { return committed }
+	d.Check(clock.SinceBoot())
+	require.False(t, d.List.IsSuspect(print))
+	committed.Apply(suspect.Report{Upstream: d.u.Name, Incarnation: d.u.Incarnation, Runs: []suspect.Run{{Request: print + 1}}})
+	d.Check(clock.SinceBoot())
+	require.True(t, d.List.IsSuspect(print))
+}
+
+// 29 crashes at one moment, with 16 requests each whose VMs report them and then their completion at another upstream.
+func TestMessagesOfHerd(t *testing.T) {
+	const reports = 29 * 16 * 2
+	for _, vms := range []int{12, 95, 200, 380} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			sent := 0
+			for range reports {
+				if AheadOfLog(vms - 1) {
+					sent += vms - 1
+				}
+			}
+			require.LessOrEqual(t, sent, reports*maxMessagedVMs)
+		})
+	}
+}
--- a/internal/services/quarantine/quarantine.go
+++ b/internal/services/quarantine/quarantine.go
@@ -159,6 +159,16 @@
 	return l.CommittedCulprits()
 }
 
+// CrashCommitted reports whether the replicated log has a crash of an incarnation of u.
+func (l *List) CrashCommitted(u id.Upstream, incarnation uint64) bool {
+	for _, r := range l.committed() {
+		if r.Includes(u, incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 // Crashes returns the crashes of p that no completed run shows to have another cause.
 func (l *List) Crashes(p Fingerprint) suspect.Record {
 	committed := l.committed()[p]
--- a/internal/services/quarantine/share.go
+++ b/internal/services/quarantine/share.go
@@ -13,9 +13,14 @@
 const (
 	maxPendingReports   = 256 // reports that wait for the log; further ones are only broadcast
 	proposeRetryBackoff = 100 * time.Millisecond
+	maxMessagedVMs      = 16 // other VMs up to which each of them gets a message ahead of the log
 )
 
-// Sharer gives reports to the other VMs: at once by a message to each of them, and for good through the replicated log.
+// AheadOfLog reports whether a report of a crash goes to each of n other VMs by a message ahead of the log. In a large fleet, where a herd
+// of crashes is noticed by nearly every VM, such messages and the connections for them would grow with the square of the fleet.
+func AheadOfLog(n int) bool { return n <= maxMessagedVMs }
+
+// Sharer gives reports to the other VMs: at once by a message to each of them in a small fleet, and for good through the replicated log.
 type Sharer struct {
 	broadcast func(suspect.Report)
 	propose   func(context.Context, suspect.Report) error
