Changes of rosters cross to another data centre once

Now, above 32 entry VMs, a control VM sends a change to the other control VMs only, and each passes on what it got, and its own changes, to the entry VMs that refresh their lists with it, in one message each 100 ms. What a VM misses it fetches at its next refresh (0.5 s), as before. A departure is acknowledged once the control VMs have it; the bound in which all VMs must know is seconds.

--- a/internal/services/roster/broadcast.go
+++ b/internal/services/roster/broadcast.go
@@ -16,7 +16,7 @@
 	replicated bool // another control VM has the update, or there is no other
 }
 
-// BroadcastAndWait sends the pending changes to every VM and waits until all have answered or wait has passed. It returns
+// BroadcastAndWait sends the pending changes to every VM, in a large fleet to every control VM, and waits until all have answered or wait has passed. It returns
 // false if no other control VM has the changes: they would be lost if this VM failed.
 func (g *Gossip) BroadcastAndWait(ctx context.Context, wait time.Duration) bool {
 	g.mu.Lock()
@@ -54,14 +54,11 @@
 	type reply struct {
 		control, ok bool
 	}
-	members := g.Members()
-	ch := make(chan reply, len(members))
-	calls, otherControlVMs := 0, 0
-	for vm, m := range members {
-		if vm == g.VM {
-			continue
-		}
-		calls++
+	g.passOn(v)
+	receivers := g.receivers()
+	ch := make(chan reply, len(receivers))
+	otherControlVMs := 0
+	for _, m := range receivers {
 		if m.Control {
 			otherControlVMs++
 		}
@@ -71,7 +68,7 @@
 		}()
 	}
 	replicated := otherControlVMs == 0
-	for range calls {
+	for range receivers {
 		r := <-ch
 		replicated = replicated || r.control && r.ok
 	}
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -88,6 +88,7 @@
 	table            relayTable
 	wake             chan struct{}
 	broadcastVersion atomic.Uint64 // version of the own list that was last broadcast
+	outbox           outbox        // for the VMs that this control VM passes updates on to
 	mu               sync.Mutex
 	nextRound        *broadcastRound // broadcast round that has not started yet; nil if there is none
 }
@@ -96,12 +97,22 @@
 func (g *Gossip) Register() {
 	g.wake = make(chan struct{}, 1)
 	peer.Handle(g.Transport, methodUpdate, func(_ context.Context, from id.VM, v ListUpdate) (updateReply, error) {
-		if v.VM != from || g.Roster.Apply(clock.SinceBoot(), v) {
+		if v.VM != from {
+			return updateReply{}, nil
+		}
+		if g.Roster.Apply(clock.SinceBoot(), v) {
+			g.passOn(v)
 			return updateReply{}, nil
 		}
 		epoch, version := g.Roster.PeerVersion(from)
 		return updateReply{Outdated: true, Epoch: epoch, Version: version}, nil
 	})
+	peer.Handle(g.Transport, methodPass, func(_ context.Context, _ id.VM, list []ListUpdate) (struct{}, error) {
+		for _, v := range list {
+			g.Roster.Apply(clock.SinceBoot(), v) // what is missing for it comes with the next refresh
+		}
+		return struct{}{}, nil
+	})
 	peer.Handle(g.Transport, methodVersions, func(_ context.Context, from id.VM, lv listVersion) (versionsReply, error) {
 		if g.MultiZone {
 			return versionsReply{List: g.Roster.Versions(clock.SinceBoot())}, nil
@@ -125,6 +136,7 @@
 // Run broadcasts changes and expires stale entries until ctx is done.
 func (g *Gossip) Run(ctx context.Context) {
 	go g.refresh(ctx)
+	go g.runOutbox(ctx)
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
 	for {
@@ -281,13 +293,13 @@
 	}
 }
 
-// broadcast sends v to every other VM of the data centre, or of all data centres if MultiZone is set.
+// broadcast sends v to every other VM of the data centre, or of all data centres if MultiZone is set. In a large fleet control VMs pass it
+// on.
 func (g *Gossip) broadcast(ctx context.Context, v ListUpdate) {
-	for vm, m := range g.Members() {
-		if vm != g.VM && (g.MultiZone || m.Zone == g.Zone) {
-			go g.sendWithTimeout(ctx, m.Peer, v)
-		}
+	for _, m := range g.receivers() {
+		go g.sendWithTimeout(ctx, m.Peer, v)
 	}
+	g.passOn(v)
 }
 
 // pendingUpdate returns the changes since the last broadcast, or only the version if there are none, and marks them as
--- a/internal/services/roster/multizone_test.go
+++ b/internal/services/roster/multizone_test.go
@@ -147,3 +147,42 @@
 		require.True(t, c.BroadcastAndWait(t.Context(), 100*time.Millisecond), "round %d", i)
 	}
 }
+
+// In a large fleet a change crosses to each control VM once, and that passes it on to the VMs next to it.
+func TestChangesArePassedOn(t *testing.T) {
+	f := newFleet(t)
+	c1, c2 := f.add("c1", true), f.add("c2", true)
+	near, far := f.add("e1", false), f.add("e2", false)
+	move := func(vm id.VM) {
+		m := f.members[vm]
+		m.Zone = "b"
+		f.members[vm] = m
+	}
+	move("c2")
+	move("e2")
+	for i := range 2 * maxDirectVMs { // more VMs of the other data centre
+		vm := id.VM(fmt.Sprint("x", i))
+		f.members[vm] = state.Member{VM: vm, Zone: "b", Peer: "127.0.0.1:9"}
+	}
+	all := []*Gossip{c1, c2, near, far}
+	for _, g := range all {
+		go g.runOutbox(t.Context())
+	}
+	for i := range 3 {
+		require.NoError(t, c1.Roster.Announce(0, announcement(fmt.Sprint("u", i), uint64(i+1), engine.Ready)))
+		c1.broadcast(t.Context(), c1.pendingUpdate())
+		for _, g := range all {
+			f.waitForUpstreams(g, i+1)
+		}
+	}
+	require.LessOrEqual(t, c1.Transport.Stats.Calls.Load(), int64(3*2+2)) // to c2 and e1, and what either of them lacked at first
+	t.Run("a departure", func(t *testing.T) {
+		leaving := announcement("u0", 1, engine.Leaving)
+		leaving.Sequence++
+		require.NoError(t, c1.Roster.Announce(0, leaving))
+		require.True(t, c1.BroadcastAndWait(t.Context(), time.Second))
+		for _, g := range all {
+			f.waitForUpstreams(g, 2)
+		}
+	})
+}
