--- a/internal/services/authority/authority_test.go
+++ b/internal/services/authority/authority_test.go
@@ -40,6 +40,7 @@
 	t               testing.TB
 	folder          string
 	vms             []*node
+	timing          Timing // of VMs that are started from now on
 	lastIncarnation id.Incarnation
 }
 
@@ -49,12 +50,14 @@
 
 // newTestFleet starts control VMs and followers, spread over three data centres.
 func newTestFleet(t *testing.T, control, followers int) *testFleet {
-	g := &testFleet{t: t, folder: t.TempDir()}
+	return newTimedFleet(t, Timing{}, control, followers)
+}
+
+func newTimedFleet(t *testing.T, timing Timing, control, followers int) *testFleet {
+	g := &testFleet{t: t, folder: t.TempDir(), timing: timing}
 	g.bootstrap()
 	for i := range control + followers {
-		n := &node{name: fmt.Sprint("vm", i), control: i < control, address: "127.0.0.1:0"}
-		g.vms = append(g.vms, n)
-		g.start(n)
+		g.add(i < control)
 	}
 	t.Cleanup(func() {
 		for _, n := range g.vms {
@@ -69,6 +72,14 @@
 	return g
 }
 
+// add starts a further VM.
+func (g *testFleet) add(control bool) *node {
+	n := &node{name: fmt.Sprint("vm", len(g.vms)), control: control, address: "127.0.0.1:0"}
+	g.vms = append(g.vms, n)
+	g.start(n)
+	return n
+}
+
 // bootstrap creates the certificate authority and the log of the fleet.
 func (g *testFleet) bootstrap() {
 	require.NoError(g.t, cert.NewCA(g.path("ca"), "test", time.Now(), time.Hour))
@@ -100,7 +111,7 @@
 	n.address = tr.Address()
 	g.lastIncarnation++
 	opt := Options{
-		VM: id.VM(n.name), Zone: g.zone(n), Incarnation: g.lastIncarnation, Peer: n.address, Voters: 3, Transport: tr,
+		VM: id.VM(n.name), Zone: g.zone(n), Incarnation: g.lastIncarnation, Peer: n.address, Voters: 3, Transport: tr, Timing: g.timing,
 	}
 	if n.control {
 		opt.Folder = g.path(n.name)
