An upstream that failed is tried again, and VMs tell each other of failures

Cause: the failure rate was a moving average over answers. An upstream with a bad average was the worse choice, got no requests, and so kept its average for ever while the others had room. In a large fleet each of 195 VMs learns for itself, at 4 requests a second, and keeps what it learnt in a trouble: for the users that is a fleet in which more and more upstreams are avoided by more and more VMs, one of the ways in which it does not come back.

Now an answer counts half after 2 s, so that the upstream is tried again; and VMs tell each other, with the loads that they exchange anyway, of upstreams that fail (failed answers and answers, only while some fail), so that the trial of one VM stands for the others. What fails for one VM only is its own rate: the larger of both counts. The platform's face makes no status checks; health is not read.

--- a/internal/routers/vm/cut_test.go
+++ b/internal/routers/vm/cut_test.go
@@ -148,6 +148,8 @@
 	srv         *httptest.Server
 	stop        context.CancelFunc
 	silent      sync.RWMutex // held for writing while the process stands still
+	unhealthy   atomic.Bool  // its status check fails
+	fails       atomic.Bool  // its answers are failures
 }
 
 // startUpstream starts application or engine i.
@@ -165,6 +167,16 @@
 	u.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.silent.RLock()
 		defer u.silent.RUnlock()
+		if strings.HasPrefix(r.URL.Path, "/health") && u.unhealthy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !strings.HasPrefix(r.URL.Path, "/health") && u.fails.Load() {
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("X-Response-Signature", name)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		u.fleet.answer(w, r, name)
 	}))
 	service, stage := "plain", ""
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -224,7 +224,7 @@
 	f.observeRate(sel, a.Rate, a.Status/100 == 2)
 	if a.NotRun {
 		drain(a)
-		sel.u.Stats.RecordOutcome(false)
+		sel.u.Stats.RecordOutcome(clock.SinceBoot(), false)
 		return &attemptError{err: errors.Errorf("status %d, not run", a.Status), sent: true, notRun: true}
 	}
 	switch {
@@ -237,7 +237,7 @@
 		err = f.forwardPlain(c, sel, p, a, out)
 	}
 	if err == nil || errors.Is(err, ErrCallerGone) || errors.Is(err, errFailureKept) {
-		sel.u.Stats.RecordOutcome(a.Status/100 == 5)
+		sel.u.Stats.RecordOutcome(clock.SinceBoot(), a.Status/100 == 5)
 		if err == nil && a.Status/100 == 2 {
 			f.recordAnswer(c, sel, a)
 		}
@@ -302,13 +302,13 @@
 	stillWanted := ctx.Err() == nil || errors.Is(err, errSilent)
 	switch {
 	case sent && !stillWanted && !p.answerBegun && f.hung(c, sel):
-		sel.u.Stats.RecordOutcome(true)
+		sel.u.Stats.RecordOutcome(clock.SinceBoot(), true)
 	case errors.Is(err, upstream.ErrNotAllowed) || errors.Is(err, upstream.ErrTooManyConns) || !stillWanted:
 	case !sent:
-		sel.u.Stats.RecordOutcome(true)
+		sel.u.Stats.RecordOutcome(clock.SinceBoot(), true)
 		sel.u.Stats.OpenCircuit(clock.SinceBoot())
 	default:
-		sel.u.Stats.RecordOutcome(true)
+		sel.u.Stats.RecordOutcome(clock.SinceBoot(), true)
 		f.checkCrash(ctx, c, sel)
 	}
 	klog.InfoS("Attempt failed", "request", c.ID, "fingerprint", c.print(), "parts", quarantine.JoinPrints(c.SharedParts), "upstream", sel.u.Name, "version", sel.u.Version, "address", sel.u.Address, "sent", sent, "events", c.events, "err", err)
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -128,8 +128,9 @@
 func (f *Forwarder) leastLoadedDecoder(c *Call, list []*roster.Upstream, prefillEngine *roster.Upstream) (*selection, error) {
 	var best *roster.Upstream
 	least := math.Inf(1)
+	now := clock.SinceBoot()
 	for _, u := range list {
-		load := relativeLoad(u, c.service.Engine.Slots)
+		load := relativeLoad(now, u, c.service.Engine.Slots)
 		if u.Zone != f.Zone {
 			load += remoteDecodePenalty
 		}
@@ -147,12 +148,13 @@
 }
 
 // relativeLoad returns the load of u as a fraction of its slots, increased by its failure rate.
-func relativeLoad(u *roster.Upstream, slots int) float64 {
-	return float64(u.Stats.Running())/float64(max(1, slots)) + failureLoadPenalty*u.Stats.FailureRate()
+func relativeLoad(now time.Duration, u *roster.Upstream, slots int) float64 {
+	return float64(u.Stats.Running())/float64(max(1, slots)) + failureLoadPenalty*u.Stats.FailureRate(now)
 }
 
 // choosePlain selects the upstream with the lowest load; upstreams of other data centres count as more loaded.
 func (f *Forwarder) choosePlain(c *Call, list []*roster.Upstream) *selection {
+	now := clock.SinceBoot()
 	var best *roster.Upstream
 	least := math.Inf(1)
 	var rank uint64
@@ -161,7 +163,7 @@
 		if u.Slots > 0 {
 			slots = u.Slots
 		}
-		load := relativeLoad(u, slots)
+		load := relativeLoad(now, u, slots)
 		if u.Zone != f.Zone {
 			load += remoteLoadPenalty
 		}
@@ -179,6 +181,7 @@
 	prefixHash := c.PromptParts[max(0, len(c.PromptParts)-2)].Chain
 	cachedTokens := f.caches.cached(f.Roster.Snapshot().Services[c.service.ID], c.PromptParts)
 	holders := f.holders(c, cachedTokens)
+	now := clock.SinceBoot()
 	views := make([]place.View, len(list))
 	sources := make([]string, len(list))
 	for i, u := range list {
@@ -194,7 +197,7 @@
 			CopyableTokens: copyable,
 			CopyTime:       took,
 			Remote:         u.Zone != f.Zone,
-			FailureRate:    u.Stats.FailureRate(),
+			FailureRate:    u.Stats.FailureRate(now),
 			Rank:           hash.Combine(u.Hash, prefixHash),
 		}
 		sources[i] = from
--- a/internal/services/forward/exchange.go
+++ b/internal/services/forward/exchange.go
@@ -14,9 +14,14 @@
 // Loads implements loadsync.Work.
 func (f *Forwarder) Loads() []loadsync.Load {
 	var list []loadsync.Load
+	now := clock.SinceBoot()
 	for _, u := range f.Roster.Snapshot().All {
 		l := loadsync.Load{Upstream: u.Name, Requests: u.Stats.Requests.Load(), PendingPrefill: u.Stats.PendingPrefill.Load()}
-		if l.Requests > 0 {
+		o, failing := u.Stats.Outcomes(now)
+		if failing {
+			l.SetOutcomes(o.Failed, o.Answers)
+		}
+		if l.Requests > 0 || l.Answers > 0 {
 			list = append(list, l)
 		}
 	}
@@ -62,8 +67,11 @@
 	for _, l := range loads {
 		byName[l.Upstream] = l
 	}
+	now := clock.SinceBoot()
 	for _, u := range f.Roster.Snapshot().All {
 		l := byName[u.Name]
+		failed, answers := l.Outcomes()
+		u.Stats.SetOtherOutcomes(now, roster.Outcomes{Failed: failed, Answers: answers})
 		u.Stats.OtherRequests.Store(l.Requests)
 		u.Stats.OtherPendingPrefill.Store(l.PendingPrefill)
 	}
--- a/internal/services/forward/silence_test.go
+++ b/internal/services/forward/silence_test.go
@@ -85,7 +85,7 @@
 			require.Error(t, s.Serve(context.Background(), q, &fakeSink{}))
 			u, ok := s.Roster.Snapshot().Find(s.up.targets[0].Upstream)
 			require.True(t, ok)
-			require.Equal(t, c.want, u.Stats.FailureRate() > 0)
+			require.Equal(t, c.want, u.Stats.FailureRate(clock.SinceBoot()) > 0)
 		})
 	}
 }
@@ -97,6 +97,6 @@
 		require.NoError(t, s.Serve(context.Background(), newCall("/unsafe/"), &fakeSink{}))
 		u, ok := s.Roster.Snapshot().Find(s.up.targets[0].Upstream)
 		require.True(t, ok)
-		require.Equal(t, want, u.Stats.FailureRate() > 0, status)
+		require.Equal(t, want, u.Stats.FailureRate(clock.SinceBoot()) > 0, status)
 	}
 }
--- a/internal/services/loadsync/exchange.go
+++ b/internal/services/loadsync/exchange.go
@@ -34,6 +34,32 @@
 	Upstream       id.Upstream `cbor:"1,keyasint"`
 	Requests       int64       `cbor:"2,keyasint"`
 	PendingPrefill int64       `cbor:"3,keyasint,omitempty"` // prompt tokens not yet processed
+	Failed         int64       `cbor:"4,keyasint,omitempty"` // recent answers that failed, in parts of outcomeUnit
+	Answers        int64       `cbor:"5,keyasint,omitempty"` // recent answers, in the same parts; zero while none of them failed
+}
+
+// outcomeUnit is the number by which outcomes are multiplied in messages, where they are whole numbers.
+const outcomeUnit = 16
+
+// SetOutcomes sets what the VM knows of the upstream's answers.
+func (l *Load) SetOutcomes(failed, answers float64) {
+	l.Failed, l.Answers = int64(failed*outcomeUnit+0.5), int64(answers*outcomeUnit+0.5)
+}
+
+// Outcomes returns the number of recent answers that failed, and of all recent answers.
+func (l Load) Outcomes() (failed, answers float64) {
+	return float64(l.Failed) / outcomeUnit, float64(l.Answers) / outcomeUnit
+}
+
+// empty reports whether l says nothing of the upstream.
+func (l Load) empty() bool { return l == Load{Upstream: l.Upstream} }
+
+// plus returns l with the work and the outcomes of x added, multiplied by sign.
+func (l Load) plus(x Load, sign int64) Load {
+	return Load{
+		Upstream: x.Upstream, Requests: l.Requests + sign*x.Requests, PendingPrefill: l.PendingPrefill + sign*x.PendingPrefill,
+		Failed: l.Failed + sign*x.Failed, Answers: l.Answers + sign*x.Answers,
+	}
 }
 
 // Placed records that a leading part of a prompt was sent to an engine.
--- a/internal/services/loadsync/hub.go
+++ b/internal/services/loadsync/hub.go
@@ -161,11 +161,8 @@
 // add adds the loads in list, multiplied by sign.
 func (t loadsByUpstream) add(list []Load, sign int64) {
 	for _, l := range list {
-		x := t[l.Upstream]
-		x.Upstream = l.Upstream
-		x.Requests += sign * l.Requests
-		x.PendingPrefill += sign * l.PendingPrefill
-		if x.Requests == 0 && x.PendingPrefill == 0 {
+		x := t[l.Upstream].plus(l, sign)
+		if x.empty() {
 			delete(t, l.Upstream)
 			continue
 		}
@@ -179,9 +176,10 @@
 	ownLoads.add(own, 1)
 	list := make([]Load, 0, len(h.totalLoads))
 	for n, t := range h.totalLoads {
-		t.Requests -= ownLoads[n].Requests
-		t.PendingPrefill -= ownLoads[n].PendingPrefill
-		if t.Requests != 0 || t.PendingPrefill != 0 {
+		if own, ok := ownLoads[n]; ok {
+			t = t.plus(own, -1)
+		}
+		if !t.empty() {
 			list = append(list, t)
 		}
 	}
--- a/internal/services/loadsync/hub_test.go
+++ b/internal/services/loadsync/hub_test.go
@@ -25,12 +25,15 @@
 		}
 		for _, l := range x.loads {
 			t := sum[l.Upstream]
-			sum[l.Upstream] = Load{Upstream: l.Upstream, Requests: t.Requests + l.Requests, PendingPrefill: t.PendingPrefill + l.PendingPrefill}
+			sum[l.Upstream] = Load{
+				Upstream: l.Upstream, Requests: t.Requests + l.Requests, PendingPrefill: t.PendingPrefill + l.PendingPrefill,
+				Failed: t.Failed + l.Failed, Answers: t.Answers + l.Answers,
+			}
 		}
 	}
 	list := []Load{}
 	for _, l := range sum {
-		if l.Requests != 0 || l.PendingPrefill != 0 {
+		if l.Requests != 0 || l.PendingPrefill != 0 || l.Failed != 0 || l.Answers != 0 {
 			list = append(list, l)
 		}
 	}
@@ -55,6 +58,7 @@
 				loads = append(loads, Load{
 					Upstream: id.Upstream(fmt.Sprint("u", rapid.IntRange(0, 3).Draw(t, "upstream"))),
 					Requests: rapid.Int64Range(0, 3).Draw(t, "requests"), PendingPrefill: rapid.Int64Range(0, 900).Draw(t, "pending prefill"),
+					Failed: rapid.Int64Range(0, 2).Draw(t, "failed"), Answers: rapid.Int64Range(0, 9).Draw(t, "answers"),
 				})
 			}
 			reported[vm] = report{at: now, loads: loads}
--- a/internal/services/roster/stats.go
+++ b/internal/services/roster/stats.go
@@ -25,7 +25,8 @@
 	PendingPrefill      atomic.Int64     // prompt tokens sent from this VM and not prefilled yet
 	OtherRequests       atomic.Int64     // in flight from other VMs, according to their last reports
 	OtherPendingPrefill atomic.Int64     // prompt tokens sent from other VMs and not prefilled yet
-	failureRate         atomic.Uint64    // moving average of answers that failed, as float bits
+	ownOutcomes         outcomes         // of this VM's requests
+	otherOutcomes       outcomes         // of other VMs' requests, according to their last reports
 	prefillSpeed        [2]atomic.Uint64 // measured prefill speed in prompt tokens per millisecond, colocated and dedicated, as float bits
 	consecutiveTrips    atomic.Int64     // calls of OpenCircuit since the last successful answer
 }
@@ -111,10 +112,9 @@
 	return s.KVBlocks.Load() + otherKVBlocks
 }
 
-// Parameters of the failure rate, the prefill speed and the circuit breaker. DefaultDedicatedSpeed is the assumed
+// Parameters of the prefill speed and the circuit breaker. DefaultDedicatedSpeed is the assumed
 // prefill speed of a dedicated prefill engine that has not been measured.
 const (
-	failureWeight         = 0.15 // weight of the latest answer in the failure rate
 	DefaultDedicatedSpeed = 50.0 // prompt tokens per millisecond, until the first measurement
 	defaultColocatedSpeed = 25.0
 	speedWeight           = 0.1 // weight of the latest measurement in the speed
@@ -124,20 +124,6 @@
 	maxTripDuration       = 4 * time.Second        // twice the time an upstream takes to announce itself again
 )
 
-// RecordOutcome adds the outcome of an answer to the failure rate. A success resets the consecutive trips.
-func (s *Stats) RecordOutcome(failed bool) {
-	v := math.Float64frombits(s.failureRate.Load()) * (1 - failureWeight)
-	if failed {
-		v += failureWeight
-	} else {
-		s.consecutiveTrips.Store(0)
-	}
-	s.failureRate.Store(math.Float64bits(v))
-}
-
-// FailureRate returns the moving average of failed answers, from 0 to 1.
-func (s *Stats) FailureRate() float64 { return math.Float64frombits(s.failureRate.Load()) }
-
 // PrefillSpeed returns the prefill speed in prompt tokens per millisecond, either of a dedicated prefill engine or of a
 // colocated one, which also decodes.
 func (s *Stats) PrefillSpeed(dedicated bool) float64 {
