--- a/internal/services/order/duty_test.go
+++ b/internal/services/order/duty_test.go
@@ -267,20 +267,31 @@
 // On a platform that checks no fencing numbers no VM acts after its successor, and no two take turns.
 func TestDutiesStaySingle(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		broken, calls := playDuties(t, rapid.Uint64().Draw(rt, "seed"), waits{deliveryTime, takeoverDelay})
+		broken, calls := playDuties(t, rapid.Uint64().Draw(rt, "seed"), usualWaits)
 		require.Empty(rt, broken)
 		require.Positive(rt, calls)
 	})
 }
 
-// The schedules find a holder that writes up to the end of its lease.
+var usualWaits = waits{delivery: deliveryTime, takeover: takeoverDelay, handOver: handOverDelay(dutyLease)}
+
+// The schedules find a holder that writes up to the end of its lease, and one that hands its lease over at once when it is stopped: both
+// holders then act for a moment.
 func TestDutiesNeedTheirWaits(t *testing.T) {
-	for seed := range uint64(1000) {
-		if broken, _ := playDuties(t, seed, waits{}); len(broken) > 0 {
-			return
-		}
+	for name, w := range map[string]waits{
+		"delivery":  {takeover: usualWaits.takeover, handOver: usualWaits.handOver},
+		"hand-over": {delivery: usualWaits.delivery, takeover: usualWaits.takeover},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(1000) {
+				if broken, _ := playDuties(t, seed, w); len(broken) > 0 {
+					t.Log("first broken schedule:", seed, broken[0])
+					return
+				}
+			}
+			t.Fatal("no schedule found that calls of two holders overlap")
+		})
 	}
-	t.Fatal("no schedule found that calls of two holders overlap")
 }
 
 // A holder whose calls a peer refuses as outdated neither calls again nor lets another VM act while its other calls are under way.
--- a/internal/services/order/lease.go
+++ b/internal/services/order/lease.go
@@ -43,6 +43,7 @@
 type waits struct {
 	delivery time.Duration // between the last write of a holder and the end of its lease
 	takeover time.Duration // between a grant and the first order to an engine
+	handOver time.Duration // between the last write of a holder that stops as planned and the release of its lease
 }
 
 // mayWrite reports whether a call may be written at now: it has then arrived or been given up when the lease ends, and the next
@@ -154,7 +155,7 @@
 	s.mu.Unlock()
 	for _, h := range held {
 		now := s.now()
-		if now >= h.Until || !pause.For(ctx, h.wrote+handOverDelay(s.opt.Lease)-now) {
+		if now >= h.Until || !pause.For(ctx, h.wrote+s.waits.handOver-now) {
 			continue // it runs out
 		}
 		r, err := s.opt.ControlPlane.Propose(ctx, state.Command{Release: &state.Release{Name: h.Name, Fence: h.Fence}})
--- a/internal/services/order/service.go
+++ b/internal/services/order/service.go
@@ -104,8 +104,9 @@
 
 // New returns a service, which is started by Run.
 func New(opt Options) *Service {
-	s := &Service{opt: opt, waits: waits{deliveryTime, takeoverDelay}, sender: NewSender(), held: map[lease.Name]HeldLease{}}
+	s := &Service{opt: opt, sender: NewSender(), held: map[lease.Name]HeldLease{}}
 	s.opt.Lease = max(minLease, cmp.Or(opt.Lease, leaseDuration))
+	s.waits = waits{delivery: deliveryTime, takeover: takeoverDelay, handOver: handOverDelay(s.opt.Lease)}
 	s.opt.SealDelay = cmp.Or(opt.SealDelay, sealDelay)
 	if opt.PlatformClient == nil && opt.Platform != "" {
 		s.opt.PlatformClient = &nativeClient{sender: s.sender, url: opt.Platform}
