Revert "Requests of a customer over its rate are refused alike whatever their size"

Callers of small requests are refused and those of large ones gain nothing, because these are refused for want of engines. Conclusion: the order in which a nearly empty bucket admits is not what binds; recorded in docs/DESIGN.md.

--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -282,7 +282,6 @@
 			b := v.limiter.Bucket(s.Customer)
 			b.SetShare(now, limit.Quota{Rate: s.Rate, Burst: s.Burst})
 			b.Credit(now, s.AddedTokens)
-			b.SetExcess(s.Excess)
 		}
 	})
 }
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -307,7 +307,7 @@
 		div := l.divider(now, d.Customer)
 		div.Report(r.VM, limit.VMReport{WantedRate: d.WantedRate, Quota: limit.Quota{Rate: d.Rate, Burst: d.Burst}, DroppedTokens: d.DroppedTokens, MeanTokens: d.MeanTokens})
 		share, addedTokens := div.Share(now, r.VM)
-		g.Shares = append(g.Shares, Share{Customer: d.Customer, Rate: share.Rate, Burst: share.Burst, AddedTokens: addedTokens, Excess: div.Excess()})
+		g.Shares = append(g.Shares, Share{Customer: d.Customer, Rate: share.Rate, Burst: share.Burst, AddedTokens: addedTokens})
 	}
 	return g
 }
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -86,7 +86,6 @@
 	Rate        float64     `cbor:"2,keyasint"`           // tokens per second
 	Burst       float64     `cbor:"3,keyasint"`           // tokens
 	AddedTokens float64     `cbor:"4,keyasint,omitempty"` // tokens added to the bucket when the burst grows
-	Excess      float64     `cbor:"5,keyasint,omitempty"` // part of the customer's demand that is beyond its rate, from 0 to 1
 }
 
 // Grant answers a report. With a zero Duration it grants no lease.
--- a/internal/services/limit/bucket.go
+++ b/internal/services/limit/bucket.go
@@ -19,7 +19,6 @@
 	demandRate      atomic.Uint64 // tokens per second, as float64 bits
 	lastDemandAt    atomic.Int64  // time of the last call of Demand, in nanoseconds; zero before the first
 	droppedTokens   atomic.Uint64 // tokens dropped because the share shrank, as float64 bits
-	excess          atomic.Uint64 // part of the customer's demand that is beyond its rate, as float64 bits
 	bookedUntil     atomic.Int64  // time by which refills cover the refused requests that were given a retry delay, in nanoseconds
 }
 
@@ -121,21 +120,6 @@
 	b.meanTokens.Store(math.Float64bits(mean))
 }
 
-// SetExcess sets the part of the customer's demand, of all VMs together, that is beyond its rate.
-func (b *Bucket) SetExcess(x float64) { b.excess.Store(math.Float64bits(x)) }
-
-// Drops reports whether a request is refused whatever its size, because its customer is over its rate and the burst is half used. Draw is
-// uniform between 0 and 1. Without this a nearly empty bucket admits small requests and refuses all large ones (random early drop, Floyd and
-// Jacobson 1993).
-func (b *Bucket) Drops(now time.Duration, draw float64) bool {
-	x := math.Float64frombits(b.excess.Load())
-	if draw >= x {
-		return false
-	}
-	s := b.load().refill(now)
-	return s.tokens < s.share.Burst/2
-}
-
 // Take consumes n tokens. It returns false if the bucket holds fewer.
 func (b *Bucket) Take(now time.Duration, n float64) bool {
 	return b.update(func(s bucketState) (bucketState, bool) {
--- a/internal/services/limit/divider.go
+++ b/internal/services/limit/divider.go
@@ -170,18 +170,6 @@
 	return share
 }
 
-// Excess returns the part of the customer's demand that is beyond its rate, from 0 to 1.
-func (d *Divider) Excess() float64 {
-	sum := 0.0
-	for _, s := range d.shares {
-		sum += s.demandRate
-	}
-	if sum <= d.limit.Rate {
-		return 0
-	}
-	return 1 - d.limit.Rate/sum
-}
-
 // Draw takes n undivided tokens. It returns false if there are fewer.
 func (d *Divider) Draw(now time.Duration, n float64) bool {
 	d.Refill(now)
--- a/internal/services/limit/limiter.go
+++ b/internal/services/limit/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -53,7 +52,6 @@
 	parties  func() int    // VMs that the fallback rate is divided between; nil for those that Leaderless returns
 	account  *account      // of a holder; nil if this VM uses its share for its own requests only
 	end      time.Duration // until which the request may wait
-	draw     float64       // uniform between 0 and 1, for what is refused by chance
 }
 
 // Reserve takes the tokens that c may need from its customer's limit. If the share lacks them, it waits for a refill,
@@ -61,7 +59,7 @@
 // fallback rate applies in addition. Otherwise it refuses with a retry delay. In a large fleet it asks the holder of the
 // customer's share in this data centre.
 func (l *Limiter) Reserve(ctx context.Context, now func() time.Duration, c *call.Call) error {
-	r := request{customer: c.Customer, tokens: float64(c.PromptTokens + c.OutputTokens), rate: c.Config.Resolve(policy.Rate, c.Customer, "").Value, draw: rand.Float64()}
+	r := request{customer: c.Customer, tokens: float64(c.PromptTokens + c.OutputTokens), rate: c.Config.Resolve(policy.Rate, c.Customer, "").Value}
 	maxTokens := l.Allowance.Apply(Quota{Rate: r.rate, Burst: c.Config.Resolve(policy.Burst, c.Customer, "").Value}).Burst
 	if r.tokens > maxTokens {
 		return call.Refuse(http.StatusRequestEntityTooLarge, call.OverBurst, step,
@@ -99,9 +97,6 @@
 // take takes the tokens of r from this VM's share, from the undivided part or at the fallback rate, and waits for them until r.end.
 func (l *Limiter) take(ctx context.Context, now func() time.Duration, r request) outcome {
 	b := l.Bucket(r.customer)
-	if b.Drops(now(), r.draw) {
-		return notTaken
-	}
 	for {
 		at := now()
 		if b.Take(at, r.tokens) {
--- a/internal/services/limit/pool.go
+++ b/internal/services/limit/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -57,7 +56,7 @@
 	if q.Returned > 0 {
 		b.Credit(now(), q.Returned)
 	}
-	r := request{customer: q.Customer, tokens: q.Tokens, rate: q.Rate, parties: l.Pool.Holders, account: a, end: now() + q.Wait, draw: rand.Float64()}
+	r := request{customer: q.Customer, tokens: q.Tokens, rate: q.Rate, parties: l.Pool.Holders, account: a, end: now() + q.Wait}
 	if o := l.take(ctx, now, r); o != notTaken {
 		return Answer{Granted: true, Shared: o == taken}
 	}
