Numbers that are none neither grant draws nor spoil shares

Cause, found while reading the diff: a draw of NaN or of a negative number of tokens passed the comparison with the undivided tokens, was granted, and left a sum with which every later draw is granted; a report with such a number went into all shares. The new question to holders is checked likewise, and its wait bounded; counts of failures that make no sense are clamped; a VM ignores its own list if another passes it on.

--- a/internal/services/limit/divider.go
+++ b/internal/services/limit/divider.go
@@ -5,6 +5,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 
 	"wagtaillift/internal/modules/id"
@@ -57,8 +58,18 @@
 // SetLimit sets the customer's rate and burst. A lower limit takes effect once VMs acknowledge smaller shares.
 func (d *Divider) SetLimit(limit Quota) { d.limit = limit }
 
-// Report records the demand of vm and the share that it applies.
+// valid reports whether n is an amount of tokens, or of tokens per second; NaN is not.
+func valid(n float64) bool { return n >= 0 && n <= math.MaxInt64 }
+
+func (r VMReport) valid() bool {
+	return valid(r.WantedRate) && valid(r.Quota.Rate) && valid(r.Quota.Burst) && valid(r.DroppedTokens) && valid(r.MeanTokens)
+}
+
+// Report records the demand of vm and the share that it applies. It ignores a report with numbers that are none.
 func (d *Divider) Report(vm id.VM, r VMReport) {
+	if !r.valid() {
+		return
+	}
 	if d.shares == nil {
 		d.shares = map[id.VM]*vmShare{}
 	}
@@ -173,7 +184,7 @@
 // Draw takes n undivided tokens. It returns false if there are fewer.
 func (d *Divider) Draw(now time.Duration, n float64) bool {
 	d.Refill(now)
-	if n > d.undividedTokens {
+	if !valid(n) || n > d.undividedTokens {
 		return false
 	}
 	d.undividedTokens -= n
--- a/internal/services/limit/pool.go
+++ b/internal/services/limit/pool.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
 )
@@ -13,6 +15,7 @@
 const (
 	minAnswerWait  = 60 * time.Millisecond  // for which a request waits for another VM's answer, however short its objective
 	refusalHolds   = 100 * time.Millisecond // after a refused draw in which a holder refuses as large requests without asking again
+	maxQueryWait   = 10 * time.Second       // for which a holder lets a request wait
 	unreachedRetry = 200 * time.Millisecond // suggested to a request whose customer's share no VM in reach holds
 )
 
@@ -35,6 +38,19 @@
 	Returned float64       `cbor:"5,keyasint,omitempty"` // tokens that earlier requests of the asking VM were admitted with and did not use
 }
 
+// Check returns an error if q is not what a VM sends.
+func (q Query) Check() error {
+	switch {
+	case q.Customer == "":
+		return errors.NotValidf("query without a customer")
+	case !valid(q.Tokens) || !valid(q.Rate) || !valid(q.Returned):
+		return errors.NotValidf("query of %g tokens at %g tokens/s, %g returned", q.Tokens, q.Rate, q.Returned)
+	case q.Wait > maxQueryWait:
+		return errors.NotValidf("query that waits for %s", q.Wait)
+	}
+	return nil
+}
+
 // Answer is a holder's answer.
 type Answer struct {
 	Granted    bool          `cbor:"1,keyasint,omitempty"`
@@ -68,7 +84,7 @@
 	a := l.accounts.Get(r.customer)
 	returned := a.unused.Swap(0)
 	answer, answered := l.Pool.Take(ctx, Query{
-		Customer: r.customer, Tokens: r.tokens, Rate: r.rate, Wait: r.end - now(), Returned: float64(returned),
+		Customer: r.customer, Tokens: r.tokens, Rate: r.rate, Wait: min(r.end-now(), maxQueryWait), Returned: float64(returned),
 	})
 	switch {
 	case answer.Granted:
--- a/internal/services/pool/pool.go
+++ b/internal/services/pool/pool.go
@@ -54,6 +54,9 @@
 }
 
 func (s *Service) admit(ctx context.Context, q limit.Query) (limit.Answer, error) {
+	if err := q.Check(); err != nil {
+		return limit.Answer{}, err
+	}
 	if !s.Holding(clock.SinceBoot(), q.Customer) {
 		return limit.Answer{}, errNotHolding
 	}
--- a/internal/services/pool/pool_test.go
+++ b/internal/services/pool/pool_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/models/state"
@@ -98,6 +100,22 @@
 	}
 }
 
+// A malformed question neither fills nor empties a bucket.
+func TestMalformedQuery(t *testing.T) {
+	n := newNode(t, "vm0", members())
+	for name, q := range map[string]limit.Query{
+		"no customer": {Tokens: 1}, "not a number": {Customer: customer, Returned: math.NaN()}, "negative": {Customer: customer, Tokens: -50},
+		"infinite": {Customer: customer, Returned: math.Inf(1)}, "endless wait": {Customer: customer, Tokens: 500, Wait: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := n.admit(t.Context(), q)
+			require.ErrorIs(t, err, errors.NotValid)
+			require.False(t, n.Limiter.Bucket(customer).Take(clock.SinceBoot(), 101))
+		})
+	}
+	require.True(t, n.Limiter.Bucket(customer).Take(clock.SinceBoot(), 100))
+}
+
 func TestHolders(t *testing.T) {
 	list := members()
 	h := newHolders(0, list, "z0", isEntry)
--- a/internal/services/roster/broadcast.go
+++ b/internal/services/roster/broadcast.go
@@ -16,8 +16,8 @@
 	replicated bool // another control VM has the update, or there is no other
 }
 
-// BroadcastAndWait sends the pending changes to every VM, in a large fleet to every control VM, and waits until all have answered or wait has passed. It returns
-// false if no other control VM has the changes: they would be lost if this VM failed.
+// BroadcastAndWait sends the pending changes to every VM, in a large fleet to every control VM, and waits until all have answered or
+// wait has passed. It returns false if no other control VM has the changes: they would be lost if this VM failed.
 func (g *Gossip) BroadcastAndWait(ctx context.Context, wait time.Duration) bool {
 	g.mu.Lock()
 	r := g.nextRound
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -109,7 +109,9 @@
 	})
 	peer.Handle(g.Transport, methodPass, func(_ context.Context, _ id.VM, list []ListUpdate) (struct{}, error) {
 		for _, v := range list {
-			g.Roster.Apply(clock.SinceBoot(), v) // what is missing for it comes with the next refresh
+			if v.VM != g.VM {
+				g.Roster.Apply(clock.SinceBoot(), v) // what is missing for it comes with the next refresh
+			}
 		}
 		return struct{}{}, nil
 	})
--- a/internal/services/roster/outcome.go
+++ b/internal/services/roster/outcome.go
@@ -35,8 +35,10 @@
 	return o
 }
 
-// rate returns the share of answers that failed.
-func (o Outcomes) rate() float64 { return o.Failed / (o.Answers + outcomePrior) }
+// rate returns the share of answers that failed, from 0 to 1 also for counts that make no sense.
+func (o Outcomes) rate() float64 {
+	return min(1, max(0, o.Failed/max(outcomePrior, o.Answers+outcomePrior)))
+}
 
 // outcomes holds Outcomes for concurrent use. The zero value holds none.
 type outcomes struct{ p atomic.Pointer[Outcomes] }
