The probe of a crash has a connection of its own

Trace from its log: 'Upstream crashed' for engines 3, 1, ... with the reason 'reported' (a call's own check), though no engine of this test crashes. The check asks /health over the client of all requests and takes an answer without the present incarnation for another process. These engines send one answer in ten a second time; where that copy arrives on the kept connection on which the probe goes out, it is taken for the probe's answer. At one VM all six were marked at once.

Now a probe has a connection of its own. Test: TestSecondAnswerIsNoCrash failed before. Ruled out: engines dropped for want of heartbeats (none in the log), circuits (failures are spread over engines and VMs), load alone (the same false crashes without it). The platform's face is not concerned: its check opens a TCP connection and sends nothing.

--- a/internal/modules/upstream/client.go
+++ b/internal/modules/upstream/client.go
@@ -23,7 +23,8 @@
 
 // Client sends requests to upstreams.
 type Client struct {
-	http *http.Client
+	http  *http.Client
+	probe *http.Client // opens a connection for each request
 }
 
 // countingConn counts the bytes written, so that an error after the first byte can be distinguished from one before it.
@@ -53,12 +54,18 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
-	return &Client{http: &http.Client{
-		Transport:     t,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	single := t.Clone()
+	single.DisableKeepAlives = true
+	return &Client{http: newHTTPClient(t), probe: newHTTPClient(single)}
+}
+
+func newHTTPClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
+// Probe sends r on a connection of its own, so that its answer cannot be taken for a late answer to an earlier request.
+func (c *Client) Probe(r *http.Request) (*http.Response, error) { return c.probe.Do(r) }
+
 // TCPUserTimeout returns a net.Dialer.Control function that sets TCP_USER_TIMEOUT, which limits how long sent bytes may
 // remain unacknowledged.
 func TCPUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
--- a/internal/services/dispatch/crashed.go
+++ b/internal/services/dispatch/crashed.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return false
 	}
-	resp, _, err := d.Client.Do(r)
+	resp, err := d.Client.Probe(r)
 	if err != nil {
 		return dialFailed(err)
 	}
--- a/internal/services/dispatch/crashed_test.go
+++ b/internal/services/dispatch/crashed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/juju/errors"
@@ -60,6 +62,46 @@
 	require.False(t, d.crashed(u))
 }
 
+// An upstream that sends an answer a second time, where the answer to the probe is due, has not crashed.
+func TestSecondAnswerIsNoCrash(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := announced(t, l.Addr().String())
+	var again atomic.Int32
+	srv := &http.Server{
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connection{}, new(atomic.Int32))
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Context().Value(connection{}).(*atomic.Int32).Add(1) > 1 {
+				again.Add(1) // the first answer of this connection once more
+			} else if r.Method == http.MethodGet {
+				w.Header().Set(headerIncarnation, incarnationOf(u.Announcement))
+			}
+			io.WriteString(w, "answer")
+		}),
+	}
+	go srv.Serve(l)
+	defer srv.Close()
+	d := &Dispatcher{Client: upstream.New(nil)}
+	defer d.Client.CloseIdle()
+	call := func() {
+		r, err := http.NewRequest(http.MethodPost, "http://"+u.Address, nil)
+		require.NoError(t, err)
+		resp, _, err := d.Client.Do(r)
+		require.NoError(t, err)
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	call()
+	require.False(t, d.crashed(u))
+	call()
+	require.Positive(t, again.Load(), "the connection was not used again")
+}
+
+// connection is the context key of the number of requests on a connection.
+type connection struct{}
+
 // recordCrash records that p crashed the upstream with this name.
 func (b *testFleet) recordCrash(name id.Upstream, p quarantine.Fingerprint) {
 	now := clock.SinceBoot()
