--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -68,6 +68,7 @@
 type Stats struct {
 	SentBytes, ReceivedBytes, Calls atomic.Int64
 	Panics                          atomic.Int64 // of handlers
+	Dialed, Accepted                atomic.Int64 // connections that this VM opened, and that others opened to it
 	methods                         lazy.Map[string, MethodStats]
 }
 
@@ -174,6 +175,7 @@
 		if err != nil {
 			return
 		}
+		t.Stats.Accepted.Add(1)
 		go t.serveConn(ctx, conn)
 	}
 }
@@ -379,5 +381,6 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "dial")
 	}
+	t.Stats.Dialed.Add(1)
 	return conn, nil
 }
--- a/internal/modules/quorum/core.go
+++ b/internal/modules/quorum/core.go
@@ -16,6 +16,11 @@
 	Leader
 )
 
+// String returns the role as in log lines.
+func (r Role) String() string {
+	return [...]string{"follower", "precandidate", "candidate", "leader"}[r]
+}
+
 // Options configure a Core.
 type Options struct {
 	Self              Node
--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -59,6 +59,7 @@
 	LeaseEnd     time.Duration // by clock.SinceBoot; zero if this node has no leader's lease
 	LeadingSince time.Duration // by clock.SinceBoot, when this leader first had a lease; zero on other nodes
 	MatchIndexes map[quorum.Node]quorum.Index
+	Role         quorum.Role
 }
 
 // Replica is a running member of the log.
@@ -82,6 +83,7 @@
 	status         atomic.Pointer[Status]
 	stopped        chan struct{}
 	closeOnce      sync.Once
+	maxDelay       atomic.Int64 // see TakeMaxDelay
 }
 
 // pendingProposal is a proposal whose entry is not applied yet.
@@ -150,6 +152,7 @@
 		case <-timer.C:
 		}
 		now := clock.SinceBoot()
+		r.noteDelay(now - r.core.NextTick())
 		r.core.Tick(now)
 		if err := r.processOutput(); err != nil {
 			klog.ErrorS(err, "Replica stopped after a disk error", "node", r.core.Self())
@@ -160,6 +163,17 @@
 	}
 }
 
+// noteDelay records how late the core's timers ran.
+func (r *Replica[R]) noteDelay(d time.Duration) {
+	if int64(d) > r.maxDelay.Load() {
+		r.maxDelay.Store(int64(d))
+	}
+}
+
+// TakeMaxDelay returns by how much the timers of the log were late at most since the last call. Beyond the election timeout the
+// process gets too little processor time to take part in elections.
+func (r *Replica[R]) TakeMaxDelay() time.Duration { return time.Duration(r.maxDelay.Swap(0)) }
+
 // drainInbox handles the queued messages, so that one disk sync covers many of them.
 func (r *Replica[R]) drainInbox() {
 	for range inboxSize {
@@ -304,8 +318,9 @@
 func (r *Replica[R]) publishStatus(now time.Duration) {
 	s := &Status{
 		Self: r.core.Self(), Leader: r.core.Leader(), Leading: r.core.Role() == quorum.Leader,
-		Term: r.core.Term(), Commit: r.core.Commit(), Members: r.core.Members(),
+		Term: r.core.Term(), Commit: r.core.Commit(), Members: r.core.Members(), Role: r.core.Role(),
 	}
+	r.logChange(s)
 	end, valid := r.core.LeaseEnd(now, r.maxClockDrift)
 	if valid {
 		s.LeaseEnd = end
@@ -327,6 +342,13 @@
 	r.empty.Store(r.core.LastIndex() == 0)
 }
 
+// logChange writes a line when the role of this node or the leader changes.
+func (r *Replica[R]) logChange(s *Status) {
+	if old := r.status.Load(); old == nil || old.Role != s.Role || old.Leader != s.Leader {
+		klog.InfoS("Role in the log changed", "node", s.Self, "role", s.Role, "leader", s.Leader, "term", s.Term, "commit", s.Commit, "last", r.core.LastIndex())
+	}
+}
+
 func (r *Replica[R]) shutdown() {
 	r.closeOnce.Do(func() { close(r.stopped) })
 	for _, p := range r.proposals {
--- a/internal/routers/vm/metrics.go
+++ b/internal/routers/vm/metrics.go
@@ -25,6 +25,8 @@
 	fmt.Fprintf(w, "wagtaillift_peer_sent_bytes_total %d\n", stats.SentBytes.Load())
 	fmt.Fprintf(w, "wagtaillift_peer_received_bytes_total %d\n", stats.ReceivedBytes.Load())
 	fmt.Fprintf(w, "wagtaillift_peer_calls_total %d\n", stats.Calls.Load())
+	fmt.Fprintf(w, "wagtaillift_peer_connections_total{side=\"dialed\"} %d\n", stats.Dialed.Load())
+	fmt.Fprintf(w, "wagtaillift_peer_connections_total{side=\"accepted\"} %d\n", stats.Accepted.Load())
 	fmt.Fprintf(w, "wagtaillift_peer_panics_total %d\n", stats.Panics.Load())
 	stats.EachMethod(func(method string, m *peer.MethodStats) {
 		for _, x := range []struct {
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -221,6 +221,7 @@
 		})
 		run(a.leader.run)
 		run(a.enrollLoop)
+		run((&leaderWatch{a: a}).run)
 	} else {
 		run(a.follow)
 	}
--- a/internal/services/authority/handlers.go
+++ b/internal/services/authority/handlers.go
@@ -89,12 +89,22 @@
 		ctx, cancel := context.WithTimeout(context.Background(), a.timing.call())
 		q := logMessages{Address: a.opt.Peer, List: list}
 		if _, err := peer.Call[empty](ctx, a.opt.Transport, addr, methodLog, q); err != nil {
-			klog.V(2).InfoS("Failed to send log messages", "peer", addr, "err", err)
+			klog.InfoS("Failed to send log messages", "peer", addr, "messages", len(list), "bytes", entryBytes(list), "queued", len(ch), "err", err)
 		}
 		cancel()
 	}
 }
 
+// entryBytes returns the bytes of the entries in list.
+func entryBytes(list []quorum.Message) (n int) {
+	for _, m := range list {
+		for _, e := range m.Entries {
+			n += len(e.Data)
+		}
+	}
+	return n
+}
+
 func (a *Agent) onFeed(ctx context.Context, _ id.VM, q feedRequest) (feedAnswer, error) {
 	if a.feed.Index() == 0 {
 		return feedAnswer{}, errors.New("this VM has no state yet")
