A lagging voter gets what it lacks once, and one batch at a time

Cause: each append that a voter rejected was answered with all that it lacked, up to 1 MB, although dozens of appends were under way when the first was rejected, and 64 messages went into one call with a deadline of 0.6 s. Class: retransmission without flow control. Now a rejection of a message that was sent before the latest reset is ignored, at most MaxBatchBytes are under way to a node (heartbeats go on meanwhile), and what is missing after a later answered message is sent again. Ruled out: malformed messages (two lines in 25 s, both before the traffic).

--- a/internal/modules/quorum/core.go
+++ b/internal/modules/quorum/core.go
@@ -43,6 +43,17 @@
 	next          Index
 	ackedSendTime time.Duration // leader's clock when it sent the latest message that was answered
 	responded     bool          // ackedSendTime is set
+	base          Index         // last entry before those that were sent since the latest reset
+	resetAt       time.Duration // when next was last set back, or a snapshot was sent
+	entriesSentAt time.Duration // when entries were last sent
+}
+
+// acknowledged returns the index from which on entries are under way.
+func (p *progress) acknowledged() Index { return max(p.match, p.base) }
+
+// reset makes the entries after i the next to be sent. Rejections of messages that were sent before say nothing about them.
+func (p *progress) reset(now time.Duration, i Index) {
+	p.next, p.base, p.resetAt = i+1, i, now
 }
 
 // Core is the Raft state machine of one node. It is not safe for concurrent use.
--- a/internal/modules/quorum/log.go
+++ b/internal/modules/quorum/log.go
@@ -81,6 +81,14 @@
 	return append([]Entry(nil), list...)
 }
 
+// bytes returns the size of the data of the entries in [from, to].
+func (l *raftLog) bytes(from, to Index) (n int) {
+	for _, e := range l.slice(from, to) {
+		n += len(e.Data)
+	}
+	return n
+}
+
 // merge appends the missing entries of list, after truncating a conflicting tail, and returns them.
 func (l *raftLog) merge(list []Entry) []Entry {
 	for k, e := range list {
--- a/internal/modules/quorum/replicate.go
+++ b/internal/modules/quorum/replicate.go
@@ -84,29 +84,39 @@
 	}
 }
 
-// replicateTo sends n its missing entries, or a snapshot if they were compacted.
+// replicateTo sends n its missing entries, or a snapshot if they were compacted. While MaxBatchBytes of entries are under way to n, it
+// sends a heartbeat instead.
 func (c *Core) replicateTo(now time.Duration, n Node) {
 	if n == c.opt.Self {
 		return
 	}
 	p, ok := c.peers[n]
 	if !ok {
-		p = &progress{next: c.log.lastIndex() + 1}
+		p = &progress{}
+		p.reset(now, c.log.lastIndex())
 		c.peers[n] = p
 	}
 	prev := p.next - 1
 	if prev < c.log.snapshot.Index {
 		s := c.log.snapshot
 		c.send(Message{Kind: InstallSnapshot, To: n, Snapshot: &s, SentAt: now})
-		p.next = s.Index + 1
+		p.reset(now, s.Index)
 		return
 	}
-	entries := c.log.batch(p.next, c.opt.MaxBatchBytes)
+	var entries []Entry
+	if free := c.opt.MaxBatchBytes - c.log.bytes(p.acknowledged()+1, prev); free > 0 {
+		entries = c.log.batch(p.next, free)
+	} else {
+		prev = p.acknowledged()
+	}
 	c.send(Message{
 		Kind: AppendEntries, To: n, Index: prev, LogTerm: c.log.term(prev),
 		Entries: entries, Commit: c.log.commit, SentAt: now,
 	})
-	p.next += Index(len(entries))
+	if len(entries) > 0 {
+		p.next += Index(len(entries))
+		p.entriesSentAt = now
+	}
 }
 
 func (c *Core) handleAppend(now time.Duration, m Message) {
@@ -162,11 +172,16 @@
 		p.ackedSendTime, p.responded = m.SentAt, true
 	}
 	if m.Reject {
-		p.next = max(p.match, min(m.Index, c.log.lastIndex())) + 1
-		c.replicateTo(now, m.From)
+		if m.SentAt >= p.resetAt {
+			p.reset(now, max(p.match, min(m.Index, c.log.lastIndex())))
+			c.replicateTo(now, m.From)
+		}
 	} else {
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
+		if m.SentAt > p.entriesSentAt && p.next > p.match+1 {
+			p.reset(now, p.match) // what was sent before this answered message did not arrive
+		}
 		c.advanceCommit(now)
 		if p.next <= c.log.lastIndex() {
 			c.replicateTo(now, m.From)
