An odd entry of another writer is refused alone

Here: a deregistration named by bytes that are no UTF-8 (/api/instances/%ff%fe/deregister) entered the list of departures; the text is refused by the decoder of every VM that gets the list, so that all of them stopped following it for the 30 s for which departures are kept. Heartbeats with a port out of range, a sequence or a start time at the end of their range, or a service that no configuration has were taken: the first is tried as an upstream, the others take the place of the sound upstream of that name or address. Class: input from outside that is checked on one of its ways in. Held already: nesting (20,000 levels) and numbers that fit no field end as 400 for that entry alone; no process ended. No assertion changed.

--- a/internal/models/engine/engine.go
+++ b/internal/models/engine/engine.go
@@ -2,6 +2,9 @@
 package engine
 
 import (
+	"net"
+	"strconv"
+
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/customer"
@@ -58,15 +61,49 @@
 	PendingPrefill int64 `json:"prefill"` // prompt tokens still to process
 }
 
+// Bounds of the fields of an announcement, which travels to every VM.
+const (
+	maxFieldBytes = 128
+	maxSlots      = 1 << 20
+	maxSequence   = 1 << 53 // JSON numbers are exact up to it
+	maxPort       = 1<<16 - 1
+)
+
+// checkAddress returns an error unless address is a host and a port number.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.NotValidf("address %q", address)
+	}
+	if n, err := strconv.Atoi(port); host == "" || err != nil || n < 1 || n > maxPort {
+		return errors.NotValidf("address %q", address)
+	}
+	return nil
+}
+
+// checkSizes reports the first field of a that is too long or out of range.
+func (a Announcement) checkSizes() error {
+	for _, v := range []string{string(a.Zone), a.Address, string(a.Service), string(a.Model), a.Version} {
+		if len(v) > maxFieldBytes {
+			return errors.NotValidf("field of %d bytes of upstream %q", len(v), a.Name)
+		}
+	}
+	if a.Slots < 0 || a.Slots > maxSlots || a.Sequence > maxSequence {
+		return errors.NotValidf("slots %d, sequence %d of upstream %q", a.Slots, a.Sequence, a.Name)
+	}
+	return nil
+}
+
 // Check reports the first invalid field of a.
 func (a Announcement) Check() error {
+	if err := a.checkSizes(); err != nil {
+		return err
+	}
 	switch {
 	case !customer.ValidID(string(a.Name)):
 		return errors.NotValidf("upstream name %q", a.Name)
 	case a.Zone == "":
 		return errors.NotValidf("upstream %q without a zone", a.Name)
-	case a.Address == "":
-		return errors.NotValidf("upstream %q without an address", a.Name)
 	case a.Model == "" && a.Service == "":
 		return errors.NotValidf("upstream %q: a model or a service is needed; what it gave", a.Name)
 	case a.State != Ready && a.State != Leaving:
@@ -76,7 +113,7 @@
 	case a.Model != "" && a.Service == "" && a.KVBlocks <= 0:
 		return errors.NotValidf("pieces %d of upstream %q", a.KVBlocks, a.Name)
 	}
-	return nil
+	return errors.Annotatef(checkAddress(a.Address), "upstream %q", a.Name)
 }
 
 // KVBlocks returns the number of KV cache blocks that n tokens occupy.
--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -54,6 +54,17 @@
 	Body  []byte `cbor:"2,keyasint,omitempty"`
 }
 
+// decoder reads messages of other VMs. Text that is not UTF-8, which callers and upstreams may send in a name, is passed on as it is: it
+// must not make the rest of its message unreadable.
+var decoder = must(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode())
+
+func must(m cbor.DecMode, err error) cbor.DecMode {
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // RemoteError is an error that the called VM returned.
 type RemoteError struct {
 	Method  string
@@ -153,7 +164,7 @@
 func Handle[Q, A any](t *Transport, method string, f func(ctx context.Context, from id.VM, q Q) (A, error)) {
 	t.handlers[method] = func(ctx context.Context, from id.VM, body []byte) ([]byte, error) {
 		var q Q
-		if err := cbor.Unmarshal(body, &q); err != nil {
+		if err := decoder.Unmarshal(body, &q); err != nil {
 			return nil, errors.Annotatef(err, "decode %s", method)
 		}
 		a, err := f(ctx, from, q)
@@ -275,7 +286,7 @@
 		return errors.NotValidf("call of more than %d bytes", maxMessageBytes)
 	}
 	t.Stats.ReceivedBytes.Add(int64(len(data)))
-	return errors.Annotate(cbor.Unmarshal(data, v), "decode call")
+	return errors.Annotate(decoder.Unmarshal(data, v), "decode call")
 }
 
 func (t *Transport) writeMessage(w io.Writer, v any) error {
@@ -302,7 +313,7 @@
 	if err != nil {
 		return a, errors.Annotatef(err, "call %s at %s", method, address)
 	}
-	return a, errors.Annotatef(cbor.Unmarshal(raw, &a), "decode answer of %s from %s", method, address)
+	return a, errors.Annotatef(decoder.Unmarshal(raw, &a), "decode answer of %s from %s", method, address)
 }
 
 func (t *Transport) call(ctx context.Context, address string, c call) ([]byte, error) {
--- a/internal/modules/peer/tunnel.go
+++ b/internal/modules/peer/tunnel.go
@@ -27,7 +27,7 @@
 func HandleTunnel[Q, A any](t *Transport, method string, f func(ctx context.Context, from id.VM, q Q) (net.Conn, A)) {
 	t.tunnels[method] = func(ctx context.Context, from id.VM, body []byte) (net.Conn, []byte, error) {
 		var q Q
-		if err := cbor.Unmarshal(body, &q); err != nil {
+		if err := decoder.Unmarshal(body, &q); err != nil {
 			return nil, nil, errors.Annotatef(err, "decode %s", method)
 		}
 		conn, a := f(ctx, from, q)
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, a, errors.Annotatef(err, "call %s at %s", method, address)
 	}
-	if err := cbor.Unmarshal(raw, &a); err != nil {
+	if err := decoder.Unmarshal(raw, &a); err != nil {
 		tn.Close()
 		return nil, a, errors.Annotatef(err, "decode answer of %s from %s", method, address)
 	}
@@ -115,7 +115,7 @@
 
 // readFirst decodes the first message on r and returns the bytes that were read beyond it.
 func (t *Transport) readFirst(r io.Reader, v any) (rest io.Reader, err error) {
-	d := cbor.NewDecoder(io.LimitReader(r, maxMessageBytes))
+	d := decoder.NewDecoder(io.LimitReader(r, maxMessageBytes))
 	if err := d.Decode(v); err != nil {
 		return nil, errors.Annotate(err, "decode call")
 	}
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -200,7 +200,7 @@
 
 func newAnnouncement(name string, s id.Service, r engine.Role) engine.Announcement {
 	return engine.Announcement{
-		Name: id.Upstream(name), Zone: "z", Address: "127.0.0.1:1" + name, Incarnation: 1, State: engine.Ready, Service: s, Role: r,
+		Name: id.Upstream(name), Zone: "z", Address: name + ":80", Incarnation: 1, State: engine.Ready, Service: s, Role: r,
 	}
 }
 
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
+	"wagtaillift/internal/models/customer"
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
@@ -147,12 +148,15 @@
 // MarkLeaving records that incarnation inc of the upstream n accepts no new requests from now on; if inc is zero, the
 // known incarnation. If n is not known either, it covers every incarnation up to latest, whose announcements may still
 // be in transit.
-func (r *Roster) MarkLeaving(now time.Duration, n id.Upstream, inc, latest uint64) {
+func (r *Roster) MarkLeaving(now time.Duration, n id.Upstream, inc, latest uint64) error {
+	if !customer.ValidID(string(n)) {
+		return errors.NotValidf("upstream name %q", n)
+	}
 	r.mu.Lock()
 	e, known := r.ownList.list[n]
 	if known && e.announcement.Incarnation > inc && inc > 0 {
 		r.mu.Unlock()
-		return
+		return nil
 	}
 	a := engine.Announcement{Name: n, Incarnation: cmp.Or(inc, latest)}
 	if known {
@@ -166,6 +170,7 @@
 	klog.InfoS("Upstream marked as leaving", "upstream", n, "address", a.Address, "incarnation", a.Incarnation)
 	r.mu.Unlock()
 	r.changed()
+	return nil
 }
 
 // retention returns how long an announcement is kept without a newer one.
--- a/internal/services/roster/roster_test.go
+++ b/internal/services/roster/roster_test.go
@@ -18,7 +18,7 @@
 
 func announcement(name string, incarnation uint64, st engine.State) engine.Announcement {
 	return engine.Announcement{
-		Name: id.Upstream(name), Zone: "a", Address: "127.0.0.1:1" + name, Incarnation: incarnation, State: st, Service: "s",
+		Name: id.Upstream(name), Zone: "a", Address: name + ":80", Incarnation: incarnation, State: st, Service: "s",
 	}
 }
 
