A VM that starts asks for each list of upstreams once at a time

Cause, found by reading and shown by the test: until a first upstream was known, a VM asked every control VM for its list each 50 ms, without regard to the questions under way: 97 calls a second a VM, 19,000 a second for 195 VMs that start together, each answered with a whole list. Now one control VM is asked for the versions each 200 ms, and each list is fetched by one call at a time. Not claimed: that this alone kept the fleet down.

--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -89,6 +89,7 @@
 	wake             chan struct{}
 	broadcastVersion atomic.Uint64 // version of the own list that was last broadcast
 	outbox           outbox        // for the VMs that this control VM passes updates on to
+	fetching         sync.Map      // VMs whose lists are being fetched
 	mu               sync.Mutex
 	nextRound        *broadcastRound // broadcast round that has not started yet; nil if there is none
 }
@@ -172,14 +173,22 @@
 	})
 }
 
-// startupInterval is the retry interval of the first fetch after a start: the VM cannot serve requests before it has a
-// list.
-const startupInterval = 50 * time.Millisecond
+// startupInterval is the refresh interval until the first upstream is known: before that the VM cannot serve requests. After a restart of a
+// large fleet all VMs are in this state.
+const startupInterval = 200 * time.Millisecond
 
-// fetchInitial fetches lists until one with an upstream has arrived.
+// memberInterval is the time between two looks for control VMs among the members.
+const memberInterval = 20 * time.Millisecond
+
+// fetchInitial refreshes the lists until an upstream is known.
 func (g *Gossip) fetchInitial(ctx context.Context) {
-	for len(g.Roster.Snapshot().All) == 0 && pause.For(ctx, startupInterval) {
-		g.fetchFromControlVMs(ctx)
+	for len(g.controlVMs()) == 0 && pause.For(ctx, memberInterval) {
+	}
+	for len(g.Roster.Snapshot().All) == 0 {
+		g.refreshMultiZone(ctx)
+		if !pause.For(ctx, startupInterval) {
+			return
+		}
 	}
 }
 
@@ -233,7 +242,12 @@
 	return peerVersions
 }
 
+// fetch fetches the list of m, or the changes to it, unless that is under way.
 func (g *Gossip) fetch(ctx context.Context, m state.Member) {
+	if _, underWay := g.fetching.LoadOrStore(m.VM, true); underWay {
+		return
+	}
+	defer g.fetching.Delete(m.VM)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	epoch, version := g.Roster.PeerVersion(m.VM)
