VMs ask less of control VMs that have no leader or commit much

Class: retries without a bound for the fleet. Now a follower asks for entries at most ten times a second while they come, a failed report goes to one other VM, the next one each time, and proposals are repeated after 100 to 800 ms.

--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -29,8 +29,9 @@
 	dutyInterval      = 200 * time.Millisecond // time between two rounds of the leader's duties
 	proposeTimeout    = 5 * time.Second
 	retryInterval     = 100 * time.Millisecond
-	maxHops           = 4    // how often a call may be forwarded on its way to the leader
-	outboxLength      = 1024 // log messages queued for one address
+	maxRetryInterval  = 800 * time.Millisecond // between repeats of a proposal
+	maxHops           = 4                      // how often a call may be forwarded on its way to the leader
+	outboxLength      = 1024                   // log messages queued for one address
 )
 
 // ErrNoQuorum means that no leader with a quorum could be reached and nothing was changed.
@@ -75,6 +76,7 @@
 	leaderIndex      atomic.Uint64 // highest index in any grant from the leader
 	drawFailedAt     atomic.Int64  // by clock.SinceBoot, when a draw last failed to reach a leader; zero once one reaches it
 	usageReportedAt  time.Duration // when usage was last reported; used only by the report loop
+	relaysTried      int           // by reports that the relay could not pass on; used only by the report loop
 
 	learnedAddresses sync.Map // quorum.Node to address
 	savedAddresses   rcu.Value[map[id.VM]string]
@@ -290,12 +292,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	for {
+	for wait := retryInterval; ; wait = min(2*wait, maxRetryInterval) {
 		r, err := a.propose(ctx, proposal{Data: data})
 		if !errors.Is(err, ErrNoQuorum) || ctx.Err() != nil {
 			return r, err
 		}
-		pause.For(ctx, retryInterval)
+		pause.For(ctx, wait)
 	}
 }
 
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -8,11 +8,13 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/state"
+	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
@@ -27,6 +29,10 @@
 	filePerm      = 0o600
 )
 
+// feedInterval is the time between two requests of a follower while entries arrive, so that those of a burst travel together. Without it
+// each entry is a call of each follower.
+const feedInterval = 100 * time.Millisecond
+
 // diskIdentity returns the identity of the disk that holds folder and creates it if missing. A replaced disk therefore
 // gets a new identity.
 func diskIdentity(folder string) (string, error) {
@@ -170,7 +176,7 @@
 func (a *Agent) followFrom(ctx context.Context, addr string) bool {
 	attached := false
 	for ctx.Err() == nil {
-		leaderIndex := a.leaderIndex.Load()
+		leaderIndex, askedAt := a.leaderIndex.Load(), clock.SinceBoot()
 		call, cancel := context.WithTimeout(ctx, a.timing.feedWait()+a.timing.feedGrace())
 		r, err := peer.Call[feedAnswer](call, a.opt.Transport, addr, methodFeed, feedRequest{After: a.feed.Index()})
 		cancel()
@@ -195,6 +201,9 @@
 		if preferred := a.relayCandidates(); len(preferred) > 0 && preferred[0] != addr && a.upToDate(ctx, preferred[0]) {
 			return attached
 		}
+		if !r.isEmpty() {
+			pause.For(ctx, feedInterval-(clock.SinceBoot()-askedAt))
+		}
 	}
 	return attached
 }
--- a/internal/services/authority/report.go
+++ b/internal/services/authority/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,7 +62,8 @@
 	}
 }
 
-// sendReport sends q through the relay. If the relay does not answer, a follower tries the other relay candidates.
+// sendReport sends q through the relay. If the relay cannot pass it on, a follower tries one other relay candidate, each time the next one:
+// hundreds of VMs that try all of them would keep control VMs without a leader from electing one.
 func (a *Agent) sendReport(ctx context.Context, q reportBatch) (grantBatch, error) {
 	relayCtx, cancel := context.WithTimeout(ctx, a.timing.call()/maxReportAttempts)
 	answer, err := a.processReports(relayCtx, q)
@@ -69,20 +71,25 @@
 	if err == nil || a.replica != nil {
 		return answer, err
 	}
+	addr, ok := a.otherRelay()
+	if !ok {
+		return answer, err
+	}
 	q.Hops++
+	call, cancel := context.WithTimeout(ctx, a.timing.call()/maxReportAttempts)
+	defer cancel()
+	return peer.Call[grantBatch](call, a.opt.Transport, addr, methodReport, q)
+}
+
+// otherRelay returns the next of the relay candidates that is not the present relay. Only the report loop calls it.
+func (a *Agent) otherRelay() (string, bool) {
 	relay, _ := a.nextHop()
-	for _, addr := range a.relayCandidates() {
-		if addr == relay || ctx.Err() != nil {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, a.timing.call()/maxReportAttempts)
-		answer, err = peer.Call[grantBatch](call, a.opt.Transport, addr, methodReport, q)
-		cancel()
-		if err == nil {
-			break
-		}
+	list := slices.DeleteFunc(a.relayCandidates(), func(addr string) bool { return addr == relay })
+	if len(list) == 0 {
+		return "", false
 	}
-	return answer, err
+	a.relaysTried++
+	return list[a.relaysTried%len(list)], true
 }
 
 // maxReportAttempts is the number of VMs through which a report can be sent within the timeout of one call.
