A busy peer keeps its connections, a restarted one resets them

Cause: a call that was not answered in time closed its connection if nothing else had been answered meanwhile (to notice a peer that had restarted). Class: a time-out taken for a failure, whose remedy costs more than the answer. Now a connection is closed at a deadline only if not even an acknowledgement arrived, and a VM keeps its stateless reset key over restarts (RFC 9000, 10.3), so that peers learn from itself that their connections are gone.

--- a/internal/modules/cert/cert.go
+++ b/internal/modules/cert/cert.go
@@ -183,6 +183,23 @@
 	return &Store{pair: &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}}, nil
 }
 
+// Secret returns bytes that are the same after a restart of this VM and, with a certificate of the fleet, known to it only.
+func (s *Store) Secret() ([]byte, error) {
+	if s.roots == nil {
+		leaf, err := x509.ParseCertificate(s.pair.Certificate[0])
+		if err != nil {
+			return nil, errors.Annotate(err, "parse own certificate")
+		}
+		return []byte(leaf.Subject.String()), nil
+	}
+	pair, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
+	return der, errors.Annotate(err, "encode VM key")
+}
+
 // FleetName returns the name of the fleet from the CA certificate.
 func (s *Store) FleetName() string { return s.fleet }
 
--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"io"
 	"maps"
 	"net"
@@ -109,13 +110,12 @@
 
 // connection is the state of the connection to one address.
 type connection struct {
-	mu         sync.Mutex
-	conn       *quic.Conn
-	lastDial   time.Time
-	err        error        // result of the last dial
-	lastAnswer atomic.Int64 // Unix time in nanoseconds
-	lastUse    atomic.Int64 // the same, of the end of the latest call or tunnel
-	inUse      atomic.Int32 // calls and tunnels
+	mu       sync.Mutex
+	conn     *quic.Conn
+	lastDial time.Time
+	err      error        // result of the last dial
+	lastUse  atomic.Int64 // Unix time in nanoseconds, of the end of the latest call or tunnel
+	inUse    atomic.Int32 // calls and tunnels
 }
 
 // begin counts a call or tunnel on pc until done is called.
@@ -138,7 +138,14 @@
 		return nil, errors.Annotatef(err, "listen for peers on %s", address)
 	}
 	t := &Transport{certs: certs, unused: unusedTimeout, handlers: map[string]Handler{}, tunnels: map[string]tunnelHandler{}, connections: map[string]*connection{}}
-	t.quic = &quic.Transport{Conn: conn}
+	secret, err := certs.Secret()
+	if err != nil {
+		conn.Close()
+		return nil, errors.Annotate(err, "derive the reset key")
+	}
+	// With the same key after a restart, peers learn at once that their connections are gone (RFC 9000, section 10.3).
+	resetKey := quic.StatelessResetKey(sha256.Sum256(append([]byte("reset "+address+" "), secret...)))
+	t.quic = &quic.Transport{Conn: conn, StatelessResetKey: &resetKey}
 	t.listener, err = t.quic.Listen(certs.ServerConfig(alpnProtocol), quicConfig())
 	if err != nil {
 		conn.Close()
@@ -318,13 +325,13 @@
 
 func (t *Transport) call(ctx context.Context, address string, c call) ([]byte, error) {
 	t.Stats.Calls.Add(1)
-	start := time.Now()
 	pc := t.connection(address)
 	defer pc.begin()()
 	conn, err := t.connect(ctx, pc, address)
 	if err != nil {
 		return nil, errors.WithType(err, ErrUnreachable)
 	}
+	received := conn.ConnectionStats().PacketsReceived
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, errors.WithType(err, ErrUnreachable)
@@ -343,13 +350,12 @@
 		if ctx.Err() == nil {
 			return nil, err
 		}
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && pc.lastAnswer.Load() < start.UnixNano() {
-			// The peer has answered nothing since the call started, so it may have restarted.
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && conn.ConnectionStats().PacketsReceived == received {
+			// Nothing arrived since the call started, not even an acknowledgement: a busy peer still sends these.
 			conn.CloseWithError(codeRejected, "no answer")
 		}
 		return nil, ctx.Err()
 	}
-	pc.lastAnswer.Store(time.Now().UnixNano())
 	if a.Error != "" {
 		return nil, &RemoteError{Method: c.Method, Address: address, Message: a.Error}
 	}
