Followers spread over the control VMs and seeds

Cause: VMs that knew only the seeds, as after a restart of everything, all followed the first of them; those whose data centre had lost its control VM all moved to the one with the lowest address; and of two control VMs in a data centre one did nothing. Class: the same order of preference on every VM. Now each VM has an order of its own among equals (rendezvous hashing of its name), and no address is in its list twice. Evidence: TestRelaysAreSpread, failed before: 195 of 195 VMs chose the same of three.

--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -15,6 +15,7 @@
 
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/hash"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
@@ -121,8 +122,8 @@
 }
 
 // relayCandidates lists the addresses of the VMs that this VM may use as its relay, in order of preference: the control
-// VMs of its data centre or, if it has none, the VM there with the lowest name; then all control VMs sorted by address;
-// then the seeds.
+// VMs of its data centre or, if it has none, the VM there with the lowest name; then all control VMs; then the seeds. Among equals each
+// VM has an order of its own, so that the VMs of a fleet do not all follow the same one.
 func (a *Agent) relayCandidates() []string {
 	var sameZone, controlVMs []string
 	members := a.feed.Members()
@@ -131,23 +132,26 @@
 		if vm == a.opt.VM {
 			continue
 		}
-		if m.Control {
+		switch {
+		case m.Control && m.Zone == a.opt.Zone:
+			sameZone = append(sameZone, m.Peer)
+		case m.Control:
 			controlVMs = append(controlVMs, m.Peer)
-			if m.Zone == a.opt.Zone {
-				sameZone = append(sameZone, m.Peer)
-			}
 		}
 		if m.Zone == a.opt.Zone && (lowestVM == "" || vm < lowestVM) {
 			lowestVM = vm
 		}
 	}
-	slices.Sort(sameZone)
-	slices.Sort(controlVMs)
+	own := hash.String(a.opt.VM)
+	hash.SortByRank(sameZone, own)
+	hash.SortByRank(controlVMs, own)
 	if len(sameZone) == 0 && lowestVM != "" && lowestVM < a.opt.VM {
 		sameZone = append(sameZone, members[lowestVM].Peer)
 	}
 	list := append(sameZone, controlVMs...)
-	for _, s := range a.seeds.Load() {
+	seeds := slices.Clone(a.seeds.Load())
+	hash.SortByRank(seeds, own)
+	for _, s := range seeds {
 		if s != a.opt.Peer && !slices.Contains(list, s) {
 			list = append(list, s)
 		}
