A resumed stream goes on only where its version is certain

The last event was given to an engine although the route's streams could no longer be resumed, without asking for the origin; and an engine that named no incarnation passed the check of its version. Class: a check that lets pass what it cannot judge. Both are refused now; plain routes ignore the header as before.

--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -113,6 +113,7 @@
 	read    sendResult
 
 	incarnations map[id.Upstream]uint64 // that engines report; zero for none
+	roster       *roster.Roster         // whose incarnations the others have
 }
 
 func (u *fakeUpstreams) Send(ctx context.Context, t Target, c *Call) (*Answer, bool, error) {
@@ -149,7 +150,11 @@
 }
 
 func (u *fakeUpstreams) Incarnation(_ context.Context, t Target) (uint64, error) {
-	return u.incarnations[t.Upstream], nil
+	if n, ok := u.incarnations[t.Upstream]; ok {
+		return n, nil
+	}
+	announced, _ := u.roster.Snapshot().Find(t.Upstream)
+	return announced.Incarnation, nil
 }
 
 func (u *fakeUpstreams) Read(_ context.Context, t Target, _ *Call) (*PrefillResult, bool, error) {
@@ -214,6 +219,7 @@
 	} {
 		require.NoError(t, r.Announce(clock.SinceBoot(), a))
 	}
+	s.up.roster = r
 	list := &quarantine.List{}
 	s.Forwarder = &Forwarder{
 		Config: s.machine.Config, Guard: s.guard, Limiter: &limit.Limiter{}, Roster: r, UpstreamClient: s.up, Meter: s.meter,
--- a/internal/services/forward/origin.go
+++ b/internal/services/forward/origin.go
@@ -56,17 +56,22 @@
 	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
 	defer cancel()
 	n, err := f.UpstreamClient.Incarnation(ctx, t)
-	if err == nil && n != 0 && n != sel.u.Incarnation {
+	if err == nil && n != sel.u.Incarnation {
 		err = errors.Errorf("incarnation %d in place of %d", n, sel.u.Incarnation)
 	}
 	return errors.Annotatef(err, "check %s before it continues a stream", sel.u.Name)
 }
 
-// findOrigin finds where the stream that c resumes began. Without it c is refused, since the wrong version would corrupt the stream.
+// findOrigin finds where the stream that c resumes began. Without it c is refused, since the wrong version would corrupt the stream; so it
+// is where the route's streams cannot be resumed, as an engine that is given the last event goes on after it.
 func (f *Forwarder) findOrigin(ctx context.Context, c *Call) error {
-	if c.LastEventID == "" || !c.route.Resumable {
+	if c.LastEventID == "" || c.route.Kind != route.Stream {
 		return nil
 	}
+	if !c.route.Resumable {
+		klog.InfoS("Resumed stream refused: its route does not allow that", "request", c.ID, "resumes", c.Resumes, "route", c.route.Name)
+		return refuse(http.StatusServiceUnavailable, call.NoService, "streams of this route cannot be resumed").WithRetryAfter(shortRetryAfter)
+	}
 	o, ok := f.Origins.Find(ctx, c.originKey(c.Resumes))
 	if !ok {
 		klog.InfoS("Resumed stream refused: its origin is not known", "request", c.ID, "resumes", c.Resumes)
--- a/internal/services/forward/version_test.go
+++ b/internal/services/forward/version_test.go
@@ -180,4 +180,28 @@
 		require.Equal(t, call.RunNo, r.Run)
 		require.Empty(t, s.up.targets)
 	})
+	t.Run("one that names no incarnation does not either", func(t *testing.T) {
+		s := newFixture(t)
+		s.announceVersions(t, "v1", "v1")
+		s.up.incarnations = map[id.Upstream]uint64{"e1": 0, "e2": 0}
+		s.Origins.Table.Put(clock.SinceBoot(), origin.Key{Customer: "c", Request: "q0"}, origin.Origin{Service: model, Version: "v1"})
+		r := requireRefusal(t, s.Serve(context.Background(), resumingCall("/resumable/"), &fakeSink{}))
+		require.Equal(t, call.RunNo, r.Run)
+		require.Empty(t, s.up.targets)
+	})
+}
+
+// After all entry VMs lost power no origin is known. A stream of before is refused as not run, also where its route may not be resumed any
+// more: an engine that is given the last event would go on after it, at any version.
+func TestStreamsAfterLossOfAllOrigins(t *testing.T) {
+	for _, path := range []string{"/resumable/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			s := newFixture(t)
+			s.announceVersions(t, "v1", "v2")
+			r := requireRefusal(t, s.Serve(context.Background(), resumingCall(path), &fakeSink{}))
+			require.Equal(t, 503, r.Status)
+			require.Equal(t, call.RunNo, r.Run)
+			require.Empty(t, s.up.targets)
+		})
+	}
 }
