A follower gets the state in answers that its link carries

A link of 10 Mbit/s carries 0.9 MB in 0.75 s if nothing else is on it. What did not arrive was asked for again from its start. Class: an answer whose size grows with history under a fixed deadline. Now an answer has 128 KB of entries at most, but one at least; a follower that lacks more than 512 KB gets the state in place of the history, encoded once for all that start together; long data is compressed for followers that say that they read it (those of earlier versions get plain data).

--- a/internal/models/state/document_test.go
+++ b/internal/models/state/document_test.go
@@ -120,7 +120,7 @@
 
 func TestDocumentInFollowerSnapshot(t *testing.T) {
 	m := applyDocuments(t, newDocument(5, nil))
-	data, err := m.FollowerSnapshot()
+	_, data, err := m.FollowerSnapshot()
 	require.NoError(t, err)
 	n := New()
 	require.NoError(t, n.Restore(data))
--- a/internal/models/state/state.go
+++ b/internal/models/state/state.go
@@ -388,8 +388,8 @@
 	return m.t.Index, data, errors.Annotate(err, "encode snapshot")
 }
 
-// FollowerSnapshot returns the encoded tables without those that only control VMs use.
-func (m *Machine) FollowerSnapshot() ([]byte, error) {
+// FollowerSnapshot returns the encoded tables without those that only control VMs use, and the last applied index.
+func (m *Machine) FollowerSnapshot() (id.Index, []byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := m.t
@@ -397,7 +397,7 @@
 	t.Counts, t.CompactedCounts, t.ReportedTotals, t.UsageReports = nil, nil, nil, nil
 	t.Answers, t.AnswerQueue = nil, nil
 	data, err := cbor.Marshal(t)
-	return data, errors.Annotate(err, "encode snapshot")
+	return t.Index, data, errors.Annotate(err, "encode snapshot")
 }
 
 // SkipTo advances the applied index to the given one, past entries that followers do not apply.
--- a/internal/models/state/suspect_test.go
+++ b/internal/models/state/suspect_test.go
@@ -21,7 +21,7 @@
 	l.apply(crashReport("u1", 1200))
 	l.restoreCopy()
 	l.apply(crashReport("u2", 2000))
-	data, err := l.m.FollowerSnapshot()
+	_, data, err := l.m.FollowerSnapshot()
 	require.NoError(t, err)
 	follower := New()
 	require.NoError(t, follower.Restore(data))
--- a/internal/services/authority/feed.go
+++ b/internal/services/authority/feed.go
@@ -1,6 +1,8 @@
 package authority
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"wagtaillift/internal/models/state"
@@ -20,12 +22,28 @@
 type feed struct {
 	*state.Machine
 	mu        sync.Mutex
-	entries   []feedEntry // entries for followers, by ascending index
+	entries   []keptEntry // entries for followers, by ascending index
 	trimmedTo id.Index    // entries up to this index have been dropped
 	lastIndex id.Index    // highest index of an entry for followers
 	dirty     bool        // entries were added since the last Publish
 	bytes     int         // data size of entries
 	changed   chan struct{}
+
+	snapshotMu sync.Mutex
+	snapshot   followerSnapshot // the latest one that was asked for
+}
+
+// keptEntry is an entry with its compressed form.
+type keptEntry struct {
+	feedEntry
+	packed *packed
+}
+
+// followerSnapshot is a snapshot for followers, encoded once for all that start at the same time.
+type followerSnapshot struct {
+	index  id.Index
+	data   []byte
+	packed packed
 }
 
 func newFeed() *feed { return &feed{Machine: state.New(), changed: make(chan struct{})} }
@@ -38,7 +56,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = append(f.entries, feedEntry{Index: id.Index(i), Data: data})
+	f.entries = append(f.entries, keptEntry{feedEntry{Index: id.Index(i), Data: data}, &packed{}})
 	f.lastIndex, f.dirty = id.Index(i), true
 	f.bytes += len(data)
 	if len(f.entries) > 2*maxFeedEntries || f.bytes > 2*maxFeedBytes {
@@ -59,7 +77,7 @@
 		return
 	}
 	f.trimmedTo = f.entries[from-1].Index
-	f.entries = append([]feedEntry(nil), f.entries[from:]...)
+	f.entries = append([]keptEntry(nil), f.entries[from:]...)
 	f.bytes = bytes
 }
 
@@ -108,26 +126,74 @@
 	return f.changed
 }
 
-// after returns the entries after index i, or a snapshot if some of them have been dropped.
-func (f *feed) after(i id.Index) (feedAnswer, error) {
-	const maxEntries = 1000
+// maxAnswerEntries and maxAnswerBytes bound an answer to a follower, which must arrive within Timing.feedGrace over the link of a small VM. It
+// holds one entry at least. A follower that lacks more than maxBacklogBytes gets a snapshot.
+const (
+	maxAnswerEntries = 1000
+	maxAnswerBytes   = 128 << 10
+	maxBacklogBytes  = 512 << 10
+)
+
+// after returns the entries after the index in q, or a snapshot if some of them have been dropped or if they are many.
+func (f *feed) after(q feedRequest) (feedAnswer, error) {
 	f.mu.Lock()
-	if i < f.trimmedTo {
+	list := f.since(q.After)
+	if q.After < f.trimmedTo || len(list) > 1 && entriesSize(list) > maxBacklogBytes {
 		f.mu.Unlock()
-		data, err := f.FollowerSnapshot()
-		return feedAnswer{Snapshot: data}, err
+		return f.snapshotAfter(q)
 	}
 	a := feedAnswer{LastIndex: f.lastIndex}
-	for _, e := range f.entries {
-		if e.Index <= i {
-			continue
-		}
-		if len(a.Entries) == maxEntries {
-			a.LastIndex = a.Entries[maxEntries-1].Index
+	f.mu.Unlock()
+	bytes := 0
+	for _, e := range list {
+		if n := len(a.Entries); n == maxAnswerEntries || n > 0 && bytes+len(e.Data) > maxAnswerBytes {
+			a.LastIndex = a.Entries[n-1].Index
 			break
 		}
-		a.Entries = append(a.Entries, e)
+		bytes += len(e.Data)
+		a.Entries = append(a.Entries, e.forFollower(q.Packs))
 	}
-	f.mu.Unlock()
 	return a, nil
 }
+
+// since returns the kept entries after index i. f.mu must be held.
+func (f *feed) since(i id.Index) []keptEntry {
+	first, _ := slices.BinarySearchFunc(f.entries, i+1, func(e keptEntry, i id.Index) int { return cmp.Compare(e.Index, i) })
+	return f.entries[first:]
+}
+
+// entriesSize returns the data size of list.
+func entriesSize(list []keptEntry) (n int) {
+	for _, e := range list {
+		n += len(e.Data)
+	}
+	return n
+}
+
+// forFollower returns the message form of e.
+func (e keptEntry) forFollower(packs bool) feedEntry {
+	if data := e.packed.of(e.Data); packs && data != nil {
+		return feedEntry{Index: e.Index, Packed: data}
+	}
+	return e.feedEntry
+}
+
+// snapshotAfter returns a snapshot. It uses the latest one again if the entries after that fit in an answer.
+func (f *feed) snapshotAfter(q feedRequest) (feedAnswer, error) {
+	f.snapshotMu.Lock()
+	defer f.snapshotMu.Unlock()
+	f.mu.Lock()
+	current := f.snapshot.index > q.After && f.snapshot.index >= f.trimmedTo && entriesSize(f.since(f.snapshot.index)) <= maxAnswerBytes
+	f.mu.Unlock()
+	if !current {
+		i, data, err := f.FollowerSnapshot()
+		if err != nil {
+			return feedAnswer{}, err
+		}
+		f.snapshot = followerSnapshot{index: i, data: data}
+	}
+	if data := f.snapshot.packed.of(f.snapshot.data); q.Packs && data != nil {
+		return feedAnswer{PackedSnapshot: data}, nil
+	}
+	return feedAnswer{Snapshot: f.snapshot.data}, nil
+}
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -182,7 +182,7 @@
 	for ctx.Err() == nil {
 		leaderIndex, askedAt := a.leaderIndex.Load(), clock.SinceBoot()
 		call, cancel := context.WithTimeout(ctx, a.timing.feedWait()+a.timing.feedGrace())
-		r, err := peer.Call[feedAnswer](call, a.opt.Transport, addr, methodFeed, feedRequest{After: a.feed.Index()})
+		r, err := peer.Call[feedAnswer](call, a.opt.Transport, addr, methodFeed, feedRequest{After: a.feed.Index(), Packs: true})
 		cancel()
 		if err != nil {
 			klog.V(1).InfoS("Feed request failed", "peer", addr, "err", err)
@@ -223,6 +223,10 @@
 
 // applyFeed applies the snapshot or entries of r.
 func (a *Agent) applyFeed(r feedAnswer) error {
+	r, err := r.unpacked()
+	if err != nil {
+		return err
+	}
 	if len(r.Snapshot) > 0 {
 		if err := a.feed.Restore(r.Snapshot); err != nil {
 			return err
--- a/internal/services/authority/follow_test.go
+++ b/internal/services/authority/follow_test.go
@@ -66,7 +66,7 @@
 	m := state.Member{VM: "relay", Zone: "zone1", Peer: tr.Address(), Incarnation: 1, Control: true}
 	_, err := leader.authority.Propose(context.Background(), state.Command{Join: &m})
 	require.NoError(t, err)
-	old, err := leader.authority.feed.FollowerSnapshot()
+	_, old, err := leader.authority.feed.FollowerSnapshot()
 	require.NoError(t, err)
 	applied := leader.authority.feed.Index()
 	g.commitChange(leader, "r0", "c0")
--- a/internal/services/authority/handlers.go
+++ b/internal/services/authority/handlers.go
@@ -113,7 +113,7 @@
 	defer timer.Stop()
 	for {
 		changed := a.feed.nextChange()
-		r, err := a.feed.after(q.After)
+		r, err := a.feed.after(q)
 		if err != nil || !r.isEmpty() {
 			return r, err
 		}
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/quorum"
@@ -36,21 +38,44 @@
 // Timing.feedWait.
 type feedRequest struct {
 	After id.Index `cbor:"1,keyasint"`
+	Packs bool     `cbor:"2,keyasint,omitempty"` // the follower reads compressed data; earlier versions do not
 }
 
 // feedAnswer carries the entries for followers up to LastIndex, or a snapshot if older entries have been dropped.
 type feedAnswer struct {
-	Snapshot  []byte      `cbor:"1,keyasint,omitempty"`
-	Entries   []feedEntry `cbor:"2,keyasint,omitempty"`
-	LastIndex id.Index    `cbor:"3,keyasint,omitempty"`
+	Snapshot       []byte      `cbor:"1,keyasint,omitempty"`
+	Entries        []feedEntry `cbor:"2,keyasint,omitempty"`
+	LastIndex      id.Index    `cbor:"3,keyasint,omitempty"`
+	PackedSnapshot []byte      `cbor:"4,keyasint,omitempty"` // in place of Snapshot
+}
+
+func (r feedAnswer) isEmpty() bool {
+	return len(r.Snapshot) == 0 && len(r.PackedSnapshot) == 0 && len(r.Entries) == 0
+}
+
+// unpacked returns r without compressed data.
+func (r feedAnswer) unpacked() (feedAnswer, error) {
+	var err error
+	if len(r.PackedSnapshot) > 0 {
+		if r.Snapshot, err = unpack(r.PackedSnapshot); err != nil {
+			return r, errors.Annotate(err, "snapshot")
+		}
+	}
+	for i := range r.Entries {
+		if e := &r.Entries[i]; len(e.Packed) > 0 {
+			if e.Data, err = unpack(e.Packed); err != nil {
+				return r, errors.Annotatef(err, "entry %d", e.Index)
+			}
+		}
+	}
+	return r, nil
 }
 
-func (r feedAnswer) isEmpty() bool { return len(r.Snapshot) == 0 && len(r.Entries) == 0 }
-
 // feedEntry is an applied log entry.
 type feedEntry struct {
-	Index id.Index `cbor:"1,keyasint"`
-	Data  []byte   `cbor:"2,keyasint,omitempty"`
+	Index  id.Index `cbor:"1,keyasint"`
+	Data   []byte   `cbor:"2,keyasint,omitempty"`
+	Packed []byte   `cbor:"3,keyasint,omitempty"` // in place of Data
 }
 
 // proposal carries a command towards the leader.
