VMs heed what upstreams say of leaving and of their time to come back

Now a VM drops an incarnation that says that it leaves and holds one that names a time, for first attempts, retries, resumed streams and the second stage, also where a request had chosen it before; an incarnation that follows under the name is not held.

--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -14,8 +14,8 @@
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/call"
-	"wagtaillift/internal/services/pace"
 	"wagtaillift/internal/services/quarantine"
+	"wagtaillift/internal/services/roster"
 )
 
 const (
@@ -166,7 +166,7 @@
 	start := time.Now()
 	result, sent, err := f.UpstreamClient.Read(ctx, f.newTarget(c, sel), c)
 	if err == nil {
-		f.observeRate(sel, result.Rate, !result.NotRun)
+		f.observe(sel, result.Signals, !result.NotRun)
 		if result.NotRun {
 			err = errors.New("the prompt was refused")
 		}
@@ -221,7 +221,7 @@
 	if err != nil {
 		return f.attemptFailed(ctx, c, sel, p, sent, err)
 	}
-	f.observeRate(sel, a.Rate, a.Status/100 == 2)
+	f.observe(sel, a.Signals, a.Status/100 == 2)
 	if a.NotRun {
 		drain(a)
 		sel.u.Stats.RecordOutcome(clock.SinceBoot(), false)
@@ -246,10 +246,18 @@
 	return f.attemptFailed(ctx, c, sel, p, true, err)
 }
 
-// observeRate records the rate that the upstream of sel named in its answer. Only a success shows that it names none any more.
-func (f *Forwarder) observeRate(sel *selection, rate pace.Rate, success bool) {
-	if success || rate > 0 {
-		f.Pace.Observe(clock.SinceBoot(), sel.u, rate, sel.sentAt)
+// observe records what the upstream of sel said of itself in its answer. Only a success shows that it names no rate any more.
+func (f *Forwarder) observe(sel *selection, s Signals, success bool) {
+	now := clock.SinceBoot()
+	if success || s.Rate > 0 {
+		f.Pace.Observe(now, sel.u, s.Rate, sel.sentAt)
+	}
+	if s.Leaving {
+		f.Roster.NoteLeaving(now, sel.u.Name, sel.u.Incarnation)
+	}
+	if s.Hold > 0 {
+		sel.u.Hold(now, s.Hold)
+		klog.V(1).InfoS("Upstream held", "upstream", sel.u.Name, "for", s.Hold)
 	}
 }
 
@@ -277,7 +285,7 @@
 func (f *Forwarder) newTarget(c *Call, sel *selection) Target {
 	t := Target{
 		Upstream: sel.u.Name, Address: sel.u.Address, CopyFrom: sel.copyFrom, Customer: c.customer.ID, TimeLeft: time.Until(c.deadline), Rank: c.rank, LastEventID: c.LastEventID,
-		Allow: func() bool { return f.stillAllowed(c) && time.Until(c.deadline) > 0 },
+		Allow: func() bool { return f.stillAllowed(c) && takesRequests(sel.u) && time.Until(c.deadline) > 0 },
 	}
 	if c.lastEventID != "" {
 		t.LastEventID = c.lastEventID
@@ -288,6 +296,9 @@
 	return t
 }
 
+// takesRequests reports whether u, which was chosen earlier, still takes requests of this VM.
+func takesRequests(u *roster.Upstream) bool { return u.Held(clock.SinceBoot()) == 0 && !u.Leaves() }
+
 // attemptFailed records a failed attempt against its upstream, unless the failure is not the upstream's fault.
 func (f *Forwarder) attemptFailed(ctx context.Context, c *Call, sel *selection, p *progress, sent bool, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -82,7 +82,7 @@
 	Header  http.Header // end-to-end header fields
 	NotRun  bool        // the upstream reported that it did not run the request
 	Stream  bool        // the body is an event stream
-	Rate    pace.Rate   // of requests that the upstream takes from all VMs together
+	Signals             // of the upstream about itself
 	Length  int64       // length of the body; -1 if unknown
 	Framed  bool        // the end of the body is marked; otherwise the body ends with its connection
 	Body    io.Reader
@@ -103,8 +103,15 @@
 type PrefillResult struct {
 	Source string // address of the engine and its handle for the prompt
 	Tokens id.Tokens
-	NotRun bool      // the engine refused the prompt
-	Rate   pace.Rate // of requests that the engine takes from all VMs together
+	NotRun bool // the engine refused the prompt
+	Signals
+}
+
+// Signals are what an upstream says of itself in an answer.
+type Signals struct {
+	Rate    pace.Rate     // of requests that it takes from all VMs together
+	Leaving bool          // it is about to leave
+	Hold    time.Duration // for which it wants nothing from this VM
 }
 
 // Sink receives the answer for the caller.
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -90,7 +90,7 @@
 		if p.tried[u.Name] || !c.mayContinueAt(u) || !want(u) || orders[u.Name].ChangesRole(u.Incarnation, string(u.Role)) {
 			continue
 		}
-		switch d := f.Pace.Wait(now, u); {
+		switch d := max(f.Pace.Wait(now, u), u.Held(now)); {
 		case d > 0:
 			if wait == 0 || d < wait {
 				wait = d
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -100,7 +100,7 @@
 	hangs       bool          // no answer until the context ends
 	pause       time.Duration // before the answer, unless the context ends
 	unframed    bool          // the body ends with the connection
-	rate        pace.Rate
+	Signals
 }
 
 // fakeUpstreams returns the results in steps in order, regardless of the upstream.
@@ -144,7 +144,7 @@
 	if s.truncated {
 		body = io.MultiReader(body, brokenBody{})
 	}
-	a := &Answer{Status: s.status, Header: http.Header{"From": {string(t.Upstream)}}, NotRun: s.notRun, Stream: s.stream, Length: -1, Framed: !s.unframed, Rate: s.rate, Body: body}
+	a := &Answer{Status: s.status, Header: http.Header{"From": {string(t.Upstream)}}, NotRun: s.notRun, Stream: s.stream, Length: -1, Framed: !s.unframed, Signals: s.Signals, Body: body}
 	a.Release = func(bool) {}
 	return a, true, nil
 }
--- a/internal/services/forward/turn_test.go
+++ b/internal/services/forward/turn_test.go
@@ -74,7 +74,7 @@
 // The answers of an upstream name a limit, and later none.
 func TestAnswerNamesLimit(t *testing.T) {
 	limited := okResult("a")
-	limited.rate = 2
+	limited.Rate = 2
 	s := newFixture(t, limited, okResult("a"))
 	require.NoError(t, s.Serve(context.Background(), newCall("/unsafe/"), &fakeSink{}))
 	list := s.Pace.Limits(clock.SinceBoot())
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -219,6 +219,19 @@
 	return ownChanged || changed
 }
 
+// NoteLeaving drops an incarnation that said in an answer to this VM that it leaves, before its announcement tells.
+func (r *Roster) NoteLeaving(now time.Duration, name id.Upstream, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if end, ok := r.departed[name]; r.departed == nil || ok && end.incarnation >= incarnation {
+		return
+	}
+	r.departed[name] = ended{incarnation: incarnation, recordedAt: now}
+	r.statsOf(name).leaving.Store(incarnation + 1)
+	r.rebuild(now)
+	klog.InfoS("Upstream leaves, by its answer", "upstream", name, "incarnation", incarnation)
+}
+
 // MarkCrashed drops an incarnation that refused a connection while requests were in flight, for crashRetention or until a
 // later incarnation announces itself.
 func (r *Roster) MarkCrashed(now time.Duration, name id.Upstream, incarnation uint64) {
--- a/internal/services/roster/stats.go
+++ b/internal/services/roster/stats.go
@@ -29,6 +29,34 @@
 	otherOutcomes       outcomes         // of other VMs' requests, according to their last reports
 	prefillSpeed        [2]atomic.Uint64 // measured prefill speed in prompt tokens per millisecond, colocated and dedicated, as float bits
 	consecutiveTrips    atomic.Int64     // calls of OpenCircuit since the last successful answer
+	hold                atomic.Pointer[hold]
+	leaving             atomic.Uint64 // incarnation that said in an answer that it leaves, plus one
+}
+
+// hold is the wish of one incarnation of an upstream to get nothing from this VM for some time.
+type hold struct {
+	incarnation uint64
+	until       time.Duration
+}
+
+// maxHold bounds the time for which an upstream may be held.
+const maxHold = time.Minute
+
+// Hold keeps u from getting anything from this VM for d from now.
+func (u *Upstream) Hold(now, d time.Duration) {
+	u.Stats.hold.Store(&hold{incarnation: u.Incarnation, until: now + min(maxHold, d)})
+}
+
+// Leaves reports whether u said in an answer that it leaves.
+func (u *Upstream) Leaves() bool { return u.Stats.leaving.Load() == u.Incarnation+1 }
+
+// Held returns how long u is still held at now. Another incarnation is not held by its predecessor's word.
+func (u *Upstream) Held(now time.Duration) time.Duration {
+	h := u.Stats.hold.Load()
+	if h == nil || h.incarnation != u.Incarnation {
+		return 0
+	}
+	return max(0, h.until-now)
 }
 
 const (
