--- a/internal/modules/quorum/core.go
+++ b/internal/modules/quorum/core.go
@@ -45,7 +45,7 @@
 	responded     bool          // ackedSendTime is set
 	base          Index         // last entry before those that were sent since the latest reset
 	resetAt       time.Duration // when next was last set back, or a snapshot was sent
-	entriesSentAt time.Duration // when entries were last sent
+	entriesSentAt time.Duration // when entries or a snapshot were last sent
 }
 
 // acknowledged returns the index from which on entries are under way.
--- a/internal/modules/quorum/replicate.go
+++ b/internal/modules/quorum/replicate.go
@@ -101,6 +101,7 @@
 		s := c.log.snapshot
 		c.send(Message{Kind: InstallSnapshot, To: n, Snapshot: &s, SentAt: now})
 		p.reset(now, s.Index)
+		p.entriesSentAt = now
 		return
 	}
 	var entries []Entry
--- a/internal/services/roster/gossip.go
+++ b/internal/services/roster/gossip.go
@@ -182,9 +182,10 @@
 
 // fetchInitial refreshes the lists until an upstream is known.
 func (g *Gossip) fetchInitial(ctx context.Context) {
-	for len(g.controlVMs()) == 0 && pause.For(ctx, memberInterval) {
+	none := func() bool { return len(g.Roster.Snapshot().All) == 0 }
+	for none() && len(g.controlVMs()) == 0 && pause.For(ctx, memberInterval) {
 	}
-	for len(g.Roster.Snapshot().All) == 0 {
+	for none() {
 		g.refreshMultiZone(ctx)
 		if !pause.For(ctx, startupInterval) {
 			return
--- a/internal/services/roster/initial_test.go
+++ b/internal/services/roster/initial_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/id"
@@ -79,3 +80,12 @@
 		})
 	}
 }
+
+// The only control VM of a fleet has nobody to ask. Its refreshes begin once an upstream has announced itself.
+func TestOnlyControlVMBeginsToRefresh(t *testing.T) {
+	f := newFleet(t)
+	c := f.add("c1", true)
+	require.NoError(t, c.Roster.Announce(0, announcement("u", 1, engine.Ready)))
+	c.fetchInitial(t.Context())
+	f.waitForUpstreams(c, 1)
+}
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -300,14 +300,15 @@
 
 // update publishes the changes at now, or soon if that was just done. r.mu must be held.
 func (r *Roster) update(now time.Duration) {
-	wait := r.rebuiltAt + r.pause*time.Duration(len(r.Snapshot().All)) - now
+	interval := r.pause * time.Duration(len(r.Snapshot().All))
+	wait := r.rebuiltAt + interval - now
 	switch {
 	case r.scheduled:
-	case r.pause == 0 || wait <= 0:
+	case wait <= 0 || interval == 0:
 		r.rebuild(now)
 	default:
 		r.scheduled = true
-		time.AfterFunc(wait, func() {
+		time.AfterFunc(min(wait, interval), func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.scheduled = false
