Review case 2: the departure of an engine that started again under its id is lost

Cause: MarkLeaving keeps the incarnation of an earlier departure in place of the one that the deregistration names. Done: a script in which an engine leaves, comes back under its id and leaves again through the same control VM.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,121 +1,169 @@
-// Command 2 sends requests of the largest allowed size to one entry VM, at the rate of a burst.
+// Command 2 restarts an engine under its id, and has it leave for good some seconds later.
 package main
 
 import (
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
 	"wagtaillift/review/fleet"
 )
 
-// Figures of sites/chakra-kochi.toml, and of the example of a configuration in PROTOCOL.md.
 const (
-	memoryMB     = 284
-	maxBodyBytes = 4194304
-	usualPerS    = 75.4 / 9 // requests a second at one of nine entry VMs
-	burst        = 1.9
-	timeoutMS    = 5000
-	runTime      = 4500 * time.Millisecond
-	burstTime    = 10 * time.Second
-	maxCut       = 3 // LOST counts more than three
+	drain      = 2 * time.Second // drain_ms
+	longer     = time.Second     // for which the engine serves on after that
+	downTime   = time.Second     // between the two lives of the engine
+	secondLife = 6200 * time.Millisecond
+	workTime   = 300 * time.Millisecond
+	timeoutMS  = 1500
+	perS       = 60
+	maxLate    = 0 // requests after drain_ms
 )
 
-// request is what the record keeps of one.
-type request struct {
-	id               string
-	sent, ran, ended time.Duration
-	end              string
+// arrival is a request that reached the engine.
+type arrival struct {
+	id string
+	at time.Duration
+}
+
+// engine is one life of the engine that leaves.
+type engine struct {
+	*fleet.Upstream
+	mu       sync.Mutex
+	arrivals []arrival
+	running  map[string]bool
+	cut      map[string]bool // requests that it was running when it ended
+}
+
+func newEngine(f *fleet.Fleet, control int) *engine {
+	e := &engine{running: map[string]bool{}}
+	e.Upstream = &fleet.Upstream{Service: "app", Zone: 0, Slots: 64, Control: f.Controls[control], Run: func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		id := r.Header.Get("X-Request-Id")
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, arrival{id, f.Since()})
+		e.running[id] = true
+		e.mu.Unlock()
+		time.Sleep(workTime)
+		e.mu.Lock()
+		delete(e.running, id)
+		e.mu.Unlock()
+		io.WriteString(w, "booked")
+	}}
+	return e
+}
+
+// leave deregisters the engine at a control VM, serves on, and ends. It returns when it was told that it may leave.
+func (e *engine) leave(f *fleet.Fleet, at *fleet.VM, serveOn time.Duration) time.Duration {
+	e.Silence()
+	status := e.Deregister(at)
+	acked := f.Since()
+	f.Log("engine %s deregisters at %s: %d", e.Name, at.Name, status)
+	if status != http.StatusOK {
+		f.Close()
+		fleet.Abort(fmt.Errorf("the departure was answered %d", status))
+	}
+	time.Sleep(serveOn)
+	e.mu.Lock()
+	e.cut = maps.Clone(e.running)
+	e.mu.Unlock()
+	e.Stop()
+	f.Log("engine %s ends", e.Name)
+	return acked
 }
 
 func main() {
-	f := fleet.New(fleet.Options{Zones: 3, FrontsEach: 1, MemoryMB: memoryMB, QuotaSlack: 190000, BinaryPath: os.Args[1], RecordPath: os.Args[2]})
-	var mu sync.Mutex
-	var list []*request
-	byID := map[string]*request{}
+	f := fleet.New(fleet.Options{Zones: 3, FrontsEach: 1, MemoryMB: 284, QuotaSlack: 190000, BinaryPath: os.Args[1], RecordPath: os.Args[2]})
 	f.Start()
-	routes := []map[string]any{fleet.Route("diagnosis", "unsafe", "app", timeoutMS, 600, 1), fleet.Route("status", "safe", "app", timeoutMS, 600, 2)}
+	routes := []map[string]any{fleet.Route("booking", "unsafe", "app", timeoutMS, 600, 1)}
 	f.Configure(fleet.Config(1, routes, []string{"app"}, 0, 0), 20*time.Second)
-	for i := range 6 {
-		f.StartUpstream(i, &fleet.Upstream{Service: "app", Zone: i % 3, Slots: 64, Run: func(w http.ResponseWriter, r *http.Request, _ []byte) {
-			mu.Lock()
-			if q := byID[r.Header.Get("X-Request-Id")]; q != nil {
-				q.ran = f.Since()
-			}
-			mu.Unlock()
-			if r.URL.Path == "/diagnosis/x" {
-				time.Sleep(runTime)
-			}
-			io.WriteString(w, "verdict")
+	for i := 1; i < 3; i++ {
+		f.StartUpstream(i, &fleet.Upstream{Service: "app", Zone: i, Slots: 64, Run: func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+			time.Sleep(workTime)
+			io.WriteString(w, "booked")
 		}})
 	}
+	first := newEngine(f, 0)
+	f.StartUpstream(0, first.Upstream)
 	f.AwaitReady(20 * time.Second)
-	time.Sleep(2 * time.Second)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for n, entry := range f.Fronts {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			sendRequests(f, entry, n, stop)
+		}()
+	}
+	time.Sleep(3 * time.Second)
+	first.leave(f, f.Controls[0], drain+500*time.Millisecond)
+	time.Sleep(downTime)
 
-	rate := usualPerS
+	second := newEngine(f, 1)
 	if f.Trouble {
-		rate *= burst
+		second.Name, second.Address = first.Name, first.Address
+	}
+	f.StartUpstream(0, second.Upstream)
+	f.Log("engine %s starts at %s and announces itself at %s", second.Name, second.Address, f.Controls[1].Name)
+	time.Sleep(secondLife)
+	acked := second.leave(f, f.Controls[0], drain+longer)
+	time.Sleep(2 * time.Second)
+	close(stop)
+	clients.Wait()
+
+	second.mu.Lock()
+	defer second.mu.Unlock()
+	late := 0
+	for _, a := range second.arrivals {
+		if a.at > acked {
+			f.Log("%s reached engine %s %.3f s after the confirmation", a.id, second.Name, (a.at - acked).Seconds())
+		}
+		if a.at > acked+drain {
+			late++
+		}
+	}
+	for id := range second.cut {
+		f.Log("%s was running at engine %s when that ended", id, second.Name)
 	}
-	entry := f.Fronts[0]
-	memory := f.WatchMemory(entry)
-	f.Log("%.1f requests a second of %d bytes to %s", rate, maxBodyBytes, entry.Name)
-	body := strings.Repeat("x", maxBodyBytes)
+	f.Finish(late > maxLate, "%d requests reached the engine later than %s after its departure was confirmed; it was running %d bookings when it ended",
+		late, drain, len(second.cut))
+}
+
+// sendRequests sends bookings to an entry VM, each on a channel of its own, until stop is closed.
+func sendRequests(f *fleet.Fleet, entry *fleet.VM, n int, stop chan struct{}) {
 	var wg sync.WaitGroup
-	for k := range int(rate * burstTime.Seconds()) {
-		q := &request{id: fmt.Sprintf("r%03d", k)}
-		mu.Lock()
-		list, byID[q.id] = append(list, q), q
-		mu.Unlock()
+	defer wg.Wait()
+	for k := 0; ; k++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second * time.Duration(len(f.Fronts)) / perS):
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			q.sent = f.Since()
-			q.end = send(entry.CallerAddress(), q.id, body)
-			q.ended = f.Since()
+			id := fmt.Sprintf("r%d-%04d", n, k)
+			if end := send(entry.CallerAddress(), id); end != "200 booked" {
+				f.Log("%s ended: %s", id, end)
+			}
 		}()
-		time.Sleep(time.Duration(float64(time.Second) / rate))
 	}
-	wg.Wait()
-	cut := 0
-	for _, q := range list {
-		f.Log("%s sent %.3f, ran from %.3f on, ended %.3f: %s", q.id, q.sent.Seconds(), q.ran.Seconds(), q.ended.Seconds(), q.end)
-		if q.ran > 0 && strings.HasPrefix(q.end, "closed without") {
-			cut++
-		}
-	}
-	f.Finish(cut > maxCut, "%d of %d requests ran at a sound engine and lost their channel without an answer; the process of %s ended %d times for its memory, peak %d MB of %d",
-		cut, len(list), entry.Name, memory.Kills.Load(), memory.Peak.Load(), memoryMB)
 }
 
-// send opens a channel, has a small request answered on it, and sends the large one on the kept channel. It returns how that
-// ended.
-func send(address, id, body string) string {
+func send(address, id string) string {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return "no channel: " + err.Error()
 	}
 	defer c.Close()
-	r := bufio.NewReader(c)
-	if end := exchange(c, r, "first-"+id, "/status/x", ""); !strings.HasPrefix(end, "200") {
-		return "not sent, as the small request before it ended so: " + end
-	}
-	return exchange(c, r, id, "/diagnosis/x", body)
-}
-
-func exchange(c net.Conn, r *bufio.Reader, id, path, body string) string {
 	c.SetDeadline(time.Now().Add(timeoutMS*time.Millisecond + time.Second))
-	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key1\r\nContent-Length: %d\r\n\r\n%s",
-		path, id, timeoutMS, len(body), body)
-	if err != nil {
-		return "not sent whole: " + err.Error()
-	}
-	resp, err := http.ReadResponse(r, nil)
+	fmt.Fprintf(c, "POST /booking/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key1\r\nContent-Length: 4\r\n\r\nbody", id, timeoutMS)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return "closed without an answer: " + err.Error()
 	}
@@ -123,5 +171,5 @@
 	if err != nil {
 		return "closed in the answer: " + err.Error()
 	}
-	return fmt.Sprintf("%d %s", resp.StatusCode, text)
+	return fmt.Sprintf("%d %.60s", resp.StatusCode, text)
 }
--- a/review/fleet/upstream.go
+++ b/review/fleet/upstream.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,13 +20,14 @@
 	Zone    int
 	Slots   int
 	Stage   string // empty for an application
+	Control *VM    // to which it announces itself; nil takes one control VM after the other
 	// Run answers a request that is run. The body has been read, the request's id and the receipt are set.
 	Run func(w http.ResponseWriter, r *http.Request, body []byte)
 	// Arrived is called before the body of a request is read; nil does nothing.
 	Arrived func(r *http.Request)
 
-	Name     string
-	Address  string
+	Name     string // drawn at the start if empty
+	Address  string // the same
 	fleet    *Fleet
 	born     int64
 	sequence int
@@ -35,12 +37,13 @@
 
 // StartUpstream starts u under a new name and announces it.
 func (f *Fleet) StartUpstream(n int, u *Upstream) {
-	l, err := net.Listen("tcp", fmt.Sprintf("%s.%d.%d:0", f.subnet, u.Zone+1, 100+n))
+	address := cmp.Or(u.Address, fmt.Sprintf("%s.%d.%d:0", f.subnet, u.Zone+1, 100+n))
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		Abort(err)
 	}
 	u.fleet, u.born, u.Address = f, time.Now().UnixMilli(), l.Addr().String()
-	u.Name = fmt.Sprintf("i-%s-%d-%x", u.Service, n, u.born)
+	u.Name = cmp.Or(u.Name, fmt.Sprintf("i-%s-%d-%x", u.Service, n, u.born))
 	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l)
 	go u.announce()
@@ -48,7 +51,7 @@
 
 func (u *Upstream) announce() {
 	for i := 0; !u.silent.Load(); i++ {
-		u.Ping("ready", u.fleet.Controls[(i+u.Zone)%len(u.fleet.Controls)])
+		u.Ping("ready", cmp.Or(u.Control, u.fleet.Controls[(i+u.Zone)%len(u.fleet.Controls)]))
 		time.Sleep(heartbeatInterval)
 	}
 }
@@ -56,6 +59,18 @@
 // Silence ends the announcements.
 func (u *Upstream) Silence() { u.silent.Store(true) }
 
+// Stop ends the upstream and the requests that it runs.
+func (u *Upstream) Stop() {
+	u.Silence()
+	u.server.Close()
+}
+
+// Deregister tells a control VM that u leaves, and returns the status of its answer.
+func (u *Upstream) Deregister(at *VM) int {
+	status, _ := Post("http://"+at.OperatorAddress()+"/api/instances/"+u.Name+"/deregister", fmt.Appendf(nil, `{"born":%d}`, u.born), time.Second)
+	return status
+}
+
 // Ping announces u in a state at a control VM.
 func (u *Upstream) Ping(state string, to *VM) int {
 	u.sequence++
