--- a/review/1/main.go
+++ b/review/1/main.go
@@ -2,10 +2,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -55,6 +53,7 @@
 	time.Sleep(2 * time.Second)
 
 	entry := f.Fronts[0]
+	client := fleet.Client{Address: entry.CallerAddress(), TimeoutMS: timeoutMS}
 	var wg sync.WaitGroup
 	var list []*request
 	for k := range requests {
@@ -65,7 +64,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			q.end = send(f, entry.CallerAddress(), q)
+			q.end = client.SendOnKept("/status/x", "/booking/x", q.id, "body", func() { q.sent = f.Since() })
 			q.ended = f.Since()
 		}()
 		time.Sleep(10 * time.Millisecond)
@@ -91,42 +90,9 @@
 	cut := 0
 	for _, q := range list {
 		f.Log("%s sent %.3f, ran from %.3f on, ended %.3f: %s", q.id, q.sent.Seconds(), q.ran.Seconds(), q.ended.Seconds(), q.end)
-		if q.ran > 0 && strings.HasPrefix(q.end, "closed") {
+		if q.ran > 0 && (strings.HasPrefix(q.end, fleet.ClosedUnanswered) || strings.HasPrefix(q.end, fleet.ClosedInAnswer)) {
 			cut++
 		}
 	}
 	f.Finish(cut > 0, "%d of %d requests that engines ran lost their channel without a complete answer", cut, len(list))
 }
-
-// send opens a channel, has a small request answered on it, and sends the booking on the kept channel. It returns how that
-// ended.
-func send(f *fleet.Fleet, address string, q *request) string {
-	c, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return "no channel: " + err.Error()
-	}
-	defer c.Close()
-	r := bufio.NewReader(c)
-	if end := exchange(c, r, "first-"+q.id, "/status/x"); !strings.HasPrefix(end, "200") {
-		return "not sent, as the small request before it ended so: " + end
-	}
-	q.sent = f.Since()
-	return exchange(c, r, q.id, "/booking/x")
-}
-
-func exchange(c net.Conn, r *bufio.Reader, id, path string) string {
-	c.SetDeadline(time.Now().Add(timeoutMS*time.Millisecond + time.Second))
-	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key1\r\nContent-Length: 4\r\n\r\nbody", path, id, timeoutMS)
-	if err != nil {
-		return "not sent whole: " + err.Error()
-	}
-	resp, err := http.ReadResponse(r, nil)
-	if err != nil {
-		return "closed without an answer: " + err.Error()
-	}
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return "closed in the answer: " + err.Error()
-	}
-	return fmt.Sprintf("%d %s", resp.StatusCode, text)
-}
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -2,11 +2,9 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -136,6 +134,7 @@
 
 // sendRequests sends bookings to an entry VM, each on a channel of its own, until stop is closed.
 func sendRequests(f *fleet.Fleet, entry *fleet.VM, n int, stop chan struct{}) {
+	client := fleet.Client{Address: entry.CallerAddress(), TimeoutMS: timeoutMS}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for k := 0; ; k++ {
@@ -148,28 +147,9 @@
 		go func() {
 			defer wg.Done()
 			id := fmt.Sprintf("r%d-%04d", n, k)
-			if end := send(entry.CallerAddress(), id); end != "200 booked" {
+			if end := client.Send("/booking/x", id, "body"); end != "200 booked" {
 				f.Log("%s ended: %s", id, end)
 			}
 		}()
 	}
 }
-
-func send(address, id string) string {
-	c, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return "no channel: " + err.Error()
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(timeoutMS*time.Millisecond + time.Second))
-	fmt.Fprintf(c, "POST /booking/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token key1\r\nContent-Length: 4\r\n\r\nbody", id, timeoutMS)
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return "closed without an answer: " + err.Error()
-	}
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return "closed in the answer: " + err.Error()
-	}
-	return fmt.Sprintf("%d %.60s", resp.StatusCode, text)
-}
--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -105,10 +105,16 @@
 	os.Exit(Failed)
 }
 
+// Second octets of the loopback addresses, beside those that the project's own tests draw.
+const (
+	firstSubnet = 220
+	subnets     = 35
+)
+
 // freeSubnet returns the first two octets of loopback addresses that nobody uses.
 func freeSubnet() string {
 	for range 200 {
-		s := fmt.Sprintf("127.%d", 20+rand.IntN(220))
+		s := fmt.Sprintf("127.%d", firstSubnet+rand.IntN(subnets))
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.1.1:%d", s, operatorPort))
 		if err == nil {
 			l.Close()
