--- a/review/2/main.go
+++ b/review/2/main.go
@@ -43,6 +43,7 @@
 	e := &engine{running: map[string]bool{}}
 	e.Upstream = &fleet.Upstream{Service: "app", Zone: 0, Slots: 64, Control: f.Controls[control], Run: func(w http.ResponseWriter, r *http.Request, _ []byte) {
 		id := r.Header.Get("X-Request-Id")
+		f.Log("%s runs at engine %s", id, e.Name)
 		e.mu.Lock()
 		e.arrivals = append(e.arrivals, arrival{id, f.Since()})
 		e.running[id] = true
@@ -81,7 +82,8 @@
 	routes := []map[string]any{fleet.Route("booking", "unsafe", "app", timeoutMS, 600, 1)}
 	f.Configure(fleet.Config(1, routes, []string{"app"}, 0, 0), 20*time.Second)
 	for i := 1; i < 3; i++ {
-		f.StartUpstream(i, &fleet.Upstream{Service: "app", Zone: i, Slots: 64, Run: func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+		f.StartUpstream(i, &fleet.Upstream{Service: "app", Zone: i, Slots: 64, Run: func(w http.ResponseWriter, r *http.Request, _ []byte) {
+			f.Log("%s runs at another engine, %d", r.Header.Get("X-Request-Id"), i)
 			time.Sleep(workTime)
 			io.WriteString(w, "booked")
 		}})
@@ -147,9 +149,9 @@
 		go func() {
 			defer wg.Done()
 			id := fmt.Sprintf("r%d-%04d", n, k)
-			if end := client.Send("/booking/x", id, "body"); end != "200 booked" {
-				f.Log("%s ended: %s", id, end)
-			}
+			sent := f.Since()
+			end := client.Send("/booking/x", id, "body")
+			f.Log("%s sent %.3f to %s, ended: %s", id, sent.Seconds(), entry.Name, end)
 		}()
 	}
 }
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -67,9 +67,10 @@
 	for k := range requests {
 		id := fmt.Sprintf("%s-%02d", phase, k)
 		client := fleet.Client{Address: f.Fronts[k%len(f.Fronts)].CallerAddress(), TimeoutMS: timeoutMS}
-		end := client.SendOnKept("/status/x", "/booking/x", id, "body", func() {})
+		var sent time.Duration
+		end := client.SendOnKept("/status/x", "/booking/x", id, "body", func() { sent = f.Since() })
 		mu.Lock()
-		f.Log("%s ran: %v, ended: %s", id, ran[id], end)
+		f.Log("%s sent %.3f, ran: %v, ended: %s", id, sent.Seconds(), ran[id], end)
 		if ran[id] && strings.HasPrefix(end, fleet.ClosedUnanswered) {
 			cut++
 		}
