SIGHUP during a planned stop no longer ends the process

Cause: the handler of SIGHUP lived as long as the watcher of the settings file, whose context is the one that SIGTERM ends; from then on the signal had its default action. The same held while the VM was built and while a control VM waits for room on a full disk. Settings that changed during the drain, or between the first read of the file and the start of the watcher, were not applied.

Ruled out: the reload itself; nothing is logged by it and the file need not change.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -1,14 +1,12 @@
 package cmd
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -47,7 +45,7 @@
 		return err
 	}
 	configureLog(cfg.Log.Verbosity)
-	return runThroughFullDisks(ctx, cfg.Data.Folder, func() (runner, error) { return newReloadedVM(a.Config) })
+	return serveReloading(ctx, a.Config, cfg.Data.Folder, func(cfg setting.Config) (reloader, error) { return vm.New(cfg) })
 }
 
 // runner is a VM that serves until ctx ends or a component fails.
@@ -79,66 +77,6 @@
 	}
 }
 
-// reloadedVM is a VM whose settings file is watched while it runs.
-type reloadedVM struct {
-	*vm.VM
-	path string
-}
-
-// newReloadedVM builds a VM from the settings that the file at path has now.
-func newReloadedVM(path string) (reloadedVM, error) {
-	cfg, err := setting.Load(path)
-	if err != nil {
-		return reloadedVM{}, err
-	}
-	v, err := vm.New(cfg)
-	return reloadedVM{v, path}, err
-}
-
-// Run runs the VM and applies changes of its settings file.
-func (v reloadedVM) Run(ctx context.Context) error {
-	watch, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go watchSettings(watch, v.path, v.VM)
-	return v.VM.Run(ctx)
-}
-
-// reloadInterval is how often the settings file is checked for changes, since it may be rewritten without a SIGHUP.
-const reloadInterval = time.Second
-
-// watchSettings reloads the settings file if its content has changed, checking on SIGHUP and every reloadInterval. An
-// unreadable or invalid file is ignored.
-func watchSettings(ctx context.Context, path string, v *vm.VM) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	last, err := os.ReadFile(path)
-	if err != nil {
-		klog.InfoS("Failed to read settings file", "file", path, "err", err)
-	}
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		case <-ticker.C:
-		}
-		data, err := os.ReadFile(path)
-		if err != nil || bytes.Equal(data, last) {
-			continue
-		}
-		last = data
-		cfg, err := setting.Load(path)
-		if err != nil {
-			klog.ErrorS(err, "Failed to reload settings", "file", path)
-			continue
-		}
-		v.Reload(cfg)
-	}
-}
-
 type foundArgs struct {
 	Config    string `arg:"--config,required" help:"settings file of the first control VM" placeholder:"FILE"`
 	KeyFolder string `arg:"--keys,required" help:"folder to write the first keys into" placeholder:"FOLDER"`
