A VM outlives the reader of its log

Callers saw: once whoever reads a VM's standard output has gone (a collector of logs that restarts), the next line of the log ends the process with every request that it was handling.

Cause: a write to a broken pipe on standard output raises SIGPIPE, whose default action for file descriptors 1 and 2 is the end of the process. The log is written in the background and may be lost; its loss is no reason to stop serving.

Ruled out: SIGUSR1 and SIGUSR2 keep their default action, since the platform sends neither.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -117,8 +117,9 @@
 	return exitErrorf(ExitUsage, "a subcommand is required")
 }
 
-// configureLog sets the log verbosity and sends the log to standard output only.
+// configureLog sets the log verbosity and sends the log to standard output only. The process outlives the reader of its log.
 func configureLog(verbosity int) {
+	signal.Ignore(syscall.SIGPIPE)
 	var fs flag.FlagSet
 	klog.InitFlags(&fs)
 	fs.Set("v", fmt.Sprint(verbosity))
