A departure is recorded for the incarnation that it names

Cause: MarkLeaving took the announcement in the VM's own list, where a departed upstream stays for 30 s, and marked that one whatever incarnation the departure named; all lists prefer the later, ready one. The same in the other order: at a VM whose own list lacks the name, a late departure of an earlier incarnation marked the present one, and one that names no incarnation took the own list's although another list had a later one.

Ruled out: an update that does not arrive, and a later heartbeat; three rosters without a network show it.

Why this works: the record bears the incarnation that the departure names, with the announcement of just that incarnation from any list; without one, the latest in all lists.

--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -150,25 +150,22 @@
 	return a == b
 }
 
-// MarkLeaving records that incarnation inc of the upstream n accepts no new requests from now on; if inc is zero, the
-// known incarnation. If n is not known either, it covers every incarnation up to latest, whose announcements may still
-// be in transit.
+// MarkLeaving records that incarnation inc of the upstream n accepts no new requests from now on; if inc is zero, the latest known
+// incarnation. If none is known either, it covers every incarnation up to latest, whose announcements may still be in transit.
 func (r *Roster) MarkLeaving(now time.Duration, n id.Upstream, inc, latest uint64) error {
 	if !customer.ValidID(string(n)) {
 		return errors.NotValidf("upstream name %q", n)
 	}
 	r.mu.Lock()
-	e, known := r.ownList.list[n]
-	if known && e.announcement.Incarnation > inc && inc > 0 {
+	a, known := r.latestKnown(n, inc)
+	if !known {
+		a = engine.Announcement{Name: n, Incarnation: cmp.Or(inc, latest)}
+	}
+	if e, ok := r.ownList.list[n]; ok && e.announcement.Incarnation > a.Incarnation {
 		r.mu.Unlock()
+		klog.InfoS("Departure of an earlier incarnation", "upstream", n, "incarnation", a.Incarnation, "present", e.announcement.Incarnation)
 		return nil
 	}
-	a := engine.Announcement{Name: n, Incarnation: cmp.Or(inc, latest)}
-	if known {
-		a = e.announcement
-	} else if u, ok := r.Snapshot().Find(n); ok {
-		a = u.Announcement
-	}
 	a.State, a.Sequence = engine.Leaving, math.MaxUint64
 	r.ownList.set(now, a)
 	r.update(now)
@@ -178,6 +175,23 @@
 	return nil
 }
 
+// latestKnown returns the announcement of the latest incarnation of n in any list, or of incarnation inc unless that is zero.
+// r.mu must be held.
+func (r *Roster) latestKnown(n id.Upstream, inc uint64) (a engine.Announcement, known bool) {
+	look := func(p *peerList) {
+		e, ok := p.list[n]
+		if !ok || inc > 0 && e.announcement.Incarnation != inc || known && e.announcement.Incarnation <= a.Incarnation {
+			return
+		}
+		a, known = e.announcement, true
+	}
+	look(&r.ownList.peerList)
+	for _, p := range r.peers {
+		look(p)
+	}
+	return a, known
+}
+
 // retention returns how long an announcement is kept without a newer one.
 func (r *Roster) retention(a engine.Announcement) time.Duration {
 	if a.State == engine.Leaving {
