A departure does not hide the crash of the next incarnation

Cause: Roster.Leaving looked for a departure by name, whatever incarnation it was of. It takes the incarnation now, at its three callers: the detector, and the crash checks of forward and dispatch.

Test: TestDepartureOfAnEarlierIncarnationIsNotThatOfTheNext failed before.

--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -149,7 +149,7 @@
 // checkCrash checks whether u crashed during the attempt that failed with err. If the crash quarantines the request, it
 // returns the refusal, otherwise err.
 func (d *Dispatcher) checkCrash(c *call.Call, u *roster.Upstream, pr *progress, p quarantine.Fingerprint, err error) error {
-	if !pr.now || errors.Is(err, errRefusedByEngine) || d.Roster.Leaving(u.Name) || !d.crashed(u) {
+	if !pr.now || errors.Is(err, errRefusedByEngine) || d.Roster.Leaving(u.Name, u.Incarnation) || !d.crashed(u) {
 		return err
 	}
 	now := clock.SinceBoot()
--- a/internal/services/forward/crash.go
+++ b/internal/services/forward/crash.go
@@ -41,7 +41,7 @@
 // checkCrash has the detector look whether the upstream of a failed attempt crashed. If the attempt may be retried, it waits
 // for the result, so that the retry does not crash another upstream.
 func (f *Forwarder) checkCrash(ctx context.Context, c *Call, sel *selection) {
-	if f.Roster.Leaving(sel.u.Name) {
+	if f.Roster.Leaving(sel.u.Name, sel.u.Incarnation) {
 		return
 	}
 	done := f.Detector.Probe(sel.u)
--- a/internal/services/quarantine/detector.go
+++ b/internal/services/quarantine/detector.go
@@ -266,7 +266,7 @@
 }
 
 func (d *Detector) view(u *roster.Upstream) view {
-	v := view{leaving: d.Roster.Leaving(u.Name), reported: d.List.CrashCommitted(u.Name, u.Incarnation)}
+	v := view{leaving: d.Roster.Leaving(u.Name, u.Incarnation), reported: d.List.CrashCommitted(u.Name, u.Incarnation)}
 	for _, o := range d.Roster.Snapshot().All {
 		switch {
 		case o.Name == u.Name && o.Incarnation == u.Incarnation:
--- a/internal/services/roster/departure_test.go
+++ b/internal/services/roster/departure_test.go
@@ -66,6 +66,19 @@
 	require.Len(t, names(entry), 1, "the next incarnation")
 }
 
+// The crash of an upstream was taken for a departure for as long as that of its earlier incarnation was remembered.
+func TestDepartureOfAnEarlierIncarnationIsNotThatOfTheNext(t *testing.T) {
+	first, second := newMultiZone("vm0"), newMultiZone("vm1")
+	require.NoError(t, first.Announce(0, announcement("u", 1, engine.Ready)))
+	require.NoError(t, first.MarkLeaving(time.Second, "u", 1, 9))
+	require.NoError(t, second.Announce(2*time.Second, announcement("u", 2, engine.Ready)))
+	exchange(2*time.Second, first, second)
+	for _, r := range []*Roster{first, second} {
+		require.True(t, r.Leaving("u", 1))
+		require.False(t, r.Leaving("u", 2))
+	}
+}
+
 // Upstreams live several times under their names and announce themselves and leave at any VM, in any order. Those are in
 // the list whose latest incarnation has not left.
 func TestDeparturesOfManyIncarnations(t *testing.T) {
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -280,15 +280,19 @@
 	return false
 }
 
-// Leaving reports whether n has been announced as leaving.
-func (r *Roster) Leaving(n id.Upstream) bool {
+// Leaving reports whether incarnation inc of n, or a later one, has been announced as leaving.
+func (r *Roster) Leaving(n id.Upstream, inc uint64) bool {
+	leaves := func(p *peerList) bool {
+		e, ok := p.list[n]
+		return ok && e.announcement.State == engine.Leaving && e.announcement.Incarnation >= inc
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e, ok := r.ownList.list[n]; ok && e.announcement.State == engine.Leaving {
+	if leaves(&r.ownList.peerList) {
 		return true
 	}
 	for _, p := range r.peers {
-		if e, ok := p.list[n]; ok && e.announcement.State == engine.Leaving {
+		if leaves(p) {
 			return true
 		}
 	}
--- a/internal/services/roster/roster_test.go
+++ b/internal/services/roster/roster_test.go
@@ -46,7 +46,7 @@
 		require.NoError(t, r.Announce(0, announcement("u", 1, engine.Ready)))
 		require.NoError(t, r.Announce(1, announcement("u", 1, engine.Leaving)))
 		require.Empty(t, names(r))
-		require.True(t, r.Leaving("u"))
+		require.True(t, r.Leaving("u", 1))
 	})
 	t.Run("an earlier incarnation", func(t *testing.T) {
 		r := newRoster("vm1")
