A late report of an earlier crash does not bring a crashed upstream back

Cause: MarkCrashed kept the latest report, not that of the latest incarnation.

Test: TestLateCrashReportOfAnEarlierIncarnation failed before.

--- a/internal/services/roster/departure_test.go
+++ b/internal/services/roster/departure_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// A late report of an earlier incarnation's crash brought the crashed present one back.
+func TestLateCrashReportOfAnEarlierIncarnation(t *testing.T) {
+	r := newMultiZone("vm0")
+	require.NoError(t, r.Announce(0, announcement("u", 2, engine.Ready)))
+	r.MarkCrashed(1, "u", 2)
+	r.MarkCrashed(2, "u", 1)
+	require.Empty(t, names(r))
+	r.MarkCrashed(3, "u", 2)
+	require.NoError(t, r.Announce(4, announcement("u", 3, engine.Ready)))
+	require.Len(t, names(r), 1)
+}
+
 // Upstreams live several times under their names and announce themselves and leave at any VM, in any order. Those are in
 // the list whose latest incarnation has not left.
 func TestDeparturesOfManyIncarnations(t *testing.T) {
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -256,6 +256,9 @@
 func (r *Roster) MarkCrashed(now time.Duration, name id.Upstream, incarnation uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ended[name].incarnation > incarnation {
+		return
+	}
 	r.ended[name] = ended{incarnation: incarnation, recordedAt: now}
 	r.update(now)
 }
