An upstream's wish to be left alone is not shortened by another one

What upstreams saw: an upstream turns a VM away with Retry-After 10 s, and a request that was under way with 1 s; from then on it got requests after one second.

Cause: the latest answer replaced what was known, whatever incarnation it was of. The longest time of the latest incarnation counts now.

Test: TestHoldIsNotShortened, whose cases "a shorter wish" and "an earlier incarnation" failed before.

--- a/internal/services/roster/stats.go
+++ b/internal/services/roster/stats.go
@@ -42,9 +42,18 @@
 // maxHold bounds the time for which an upstream may be held.
 const maxHold = time.Minute
 
-// Hold keeps u from getting anything from this VM for d from now.
+// Hold keeps u from getting anything from this VM for d from now, or for as long as it is held already.
 func (u *Upstream) Hold(now, d time.Duration) {
-	u.Stats.hold.Store(&hold{incarnation: u.Incarnation, until: now + min(maxHold, d)})
+	next := &hold{incarnation: u.Incarnation, until: now + min(maxHold, d)}
+	for {
+		old := u.Stats.hold.Load()
+		if old != nil && (old.incarnation > next.incarnation || old.incarnation == next.incarnation && old.until >= next.until) {
+			return
+		}
+		if u.Stats.hold.CompareAndSwap(old, next) {
+			return
+		}
+	}
 }
 
 // Leaves reports whether u said in an answer that it leaves.
