--- a/internal/services/roster/hold_test.go
+++ b/internal/services/roster/hold_test.go
@@ -15,7 +15,7 @@
 		return &Upstream{Announcement: announcement("u", incarnation, engine.Ready), Stats: s}
 	}
 	for name, c := range map[string]struct {
-		first, second uint64 // incarnations
+		first, second uint64        // incarnations
 		wish          time.Duration // the second one
 		held          time.Duration // of the present incarnation, 2
 	}{
