Names of services are written as metric labels by their format's rules

Cause: the counter of requests put the name into its label as it is. The metrics library panics on what it can't parse, after the answer had been written and before the server had sent it, so that the panic took the answer away. A name that ends in a backslash or holds a line feed did the same; the burn rates used Go's quoting, whose escapes readers of metrics don't all know.

Ruled out: an answer that is lost on its way from the upstream.

Why this works: label.Quote escapes what the text format asks for, so that no name is an invalid metric, and two names don't share a counter.

--- a/internal/routers/vm/metrics.go
+++ b/internal/routers/vm/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/label"
 	"wagtaillift/internal/modules/peer"
 )
 
@@ -13,8 +14,8 @@
 func (v *VM) writeBurnRates(w io.Writer) {
 	for _, l := range v.burn.Report(time.Now()) {
 		for _, s := range l.Spans {
-			fmt.Fprintf(w, "wagtaillift_burn{customer=%q,service=%q,objective=%q,window=%q} %g\n",
-				l.Customer, l.Service, l.Objective, s.Window, s.Burn)
+			fmt.Fprintf(w, "wagtaillift_burn{customer=%s,service=%s,objective=%q,window=%q} %g\n",
+				label.Quote(string(l.Customer)), label.Quote(string(l.Service)), l.Objective, s.Window, s.Burn)
 		}
 	}
 }
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -11,6 +11,7 @@
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/label"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/upstream"
 	"wagtaillift/internal/services/forward"
@@ -175,7 +176,7 @@
 
 // countRequest increments the request counter of a service and outcome.
 func countRequest(service, outcome string) {
-	metrics.GetOrCreateCounter(`wagtaillift_requests_total{service="` + service + `",outcome="` + outcome + `"}`).Inc()
+	metrics.GetOrCreateCounter(`wagtaillift_requests_total{service=` + label.Quote(service) + `,outcome=` + label.Quote(outcome) + `}`).Inc()
 }
 
 var _ http.Handler = (*platform.Caller)(nil)
