A request with a line end in its header is not sent

Cause: Message.encode wrote values from outside without a check. Message moves to a file of its own.

Why not refuse the configuration: what makes one invalid is listed by the platform, and names are not on the list; the other customers of such a configuration are served.

--- /dev/null
+++ b/internal/modules/upstream/message.go
@@ -0,0 +1,71 @@
+package upstream
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Message is a request to be written to an upstream.
+type Message struct {
+	ID      string // that answers name; empty if they name none
+	Method  string
+	Target  string // origin form
+	Host    string
+	Header  http.Header
+	Body    []byte
+	HasBody bool // writes Content-Length even if Body is empty
+
+	// IsOwnAnswer reports whether an answer with header h belongs to this request; nil accepts any answer.
+	IsOwnAnswer func(h http.Header) bool
+	// Allow is called immediately before the write; if it returns false, the request is not sent. Nil always allows it.
+	Allow func() bool
+}
+
+// check returns an error if a part of m cannot be written as it is: what follows a line end in it would be read as another field or
+// request. Some values come from configurations and from answers of upstreams.
+func (m *Message) check() error {
+	if strings.ContainsFunc(m.Target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return errors.NotValidf("target %q", m.Target)
+	}
+	if !httpguts.ValidHostHeader(m.Host) {
+		return errors.NotValidf("host %q", m.Host)
+	}
+	for k, list := range m.Header {
+		for _, v := range list {
+			if !httpguts.ValidHeaderFieldName(k) || !httpguts.ValidHeaderFieldValue(v) {
+				return errors.NotValidf("header field %q: %q", k, v)
+			}
+		}
+	}
+	return nil
+}
+
+// encode returns m in HTTP/1.1 wire format.
+func (m *Message) encode() []byte {
+	b := make([]byte, 0, 512+len(m.Body))
+	b = append(b, m.Method...)
+	b = append(b, ' ')
+	b = append(b, m.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, m.Host...)
+	b = append(b, "\r\n"...)
+	for k, list := range m.Header {
+		for _, v := range list {
+			b = append(b, k...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if m.HasBody || len(m.Body) > 0 {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, m.Body...)
+}
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -110,22 +110,6 @@
 	return n, err
 }
 
-// Message is a request to be written to an upstream.
-type Message struct {
-	ID      string // that answers name; empty if they name none
-	Method  string
-	Target  string // origin form
-	Host    string
-	Header  http.Header
-	Body    []byte
-	HasBody bool // writes Content-Length even if Body is empty
-
-	// IsOwnAnswer reports whether an answer with header h belongs to this request; nil accepts any answer.
-	IsOwnAnswer func(h http.Header) bool
-	// Allow is called immediately before the write; if it returns false, the request is not sent. Nil always allows it.
-	Allow func() bool
-}
-
 // Reply is an answer whose body has not been read yet. The caller either reads Body to its end and calls Finish, or calls
 // Close.
 type Reply struct {
@@ -138,6 +122,9 @@
 // Do sends m to address, opening at most maxConns connections to it; 0 sets no limit. Sent is false only if no byte was
 // handed to a socket. When ctx ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, address string, maxConns int, m *Message) (r *Reply, sent bool, err error) {
+	if err := m.check(); err != nil {
+		return nil, false, errors.Annotatef(err, "request for %s", address)
+	}
 	pc, err := p.acquire(ctx, address, maxConns, m.ID)
 	if err != nil {
 		return nil, false, errors.Annotatef(err, "connect to %s", address)
@@ -186,32 +173,6 @@
 	return nil
 }
 
-// encode returns m in HTTP/1.1 wire format.
-func (m *Message) encode() []byte {
-	b := make([]byte, 0, 512+len(m.Body))
-	b = append(b, m.Method...)
-	b = append(b, ' ')
-	b = append(b, m.Target...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, m.Host...)
-	b = append(b, "\r\n"...)
-	for k, list := range m.Header {
-		for _, v := range list {
-			b = append(b, k...)
-			b = append(b, ": "...)
-			b = append(b, v...)
-			b = append(b, "\r\n"...)
-		}
-	}
-	if m.HasBody || len(m.Body) > 0 {
-		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
-		b = append(b, "\r\n"...)
-	}
-	b = append(b, "\r\n"...)
-	return append(b, m.Body...)
-}
-
 // read returns the answer to m. It skips 1xx responses and late answers to earlier requests.
 func (pc *pooledConn) read(m *Message) (*http.Response, error) {
 	req := &http.Request{Method: m.Method}
