Text of an upstream that broke off is not passed on as the rest of a stream

Cause: blocks that are no event were held back before a failure only, and passed on before another event or at the end. Events that arrived in one read were taken for one block, so that such text behind them was not even held.

Now: where a stream goes on at another engine, only events and comments are passed on; there, and where a stream's end is not marked, text that is no event at its end means that it broke off, as an end inside an event does. It is retried or cut. A first answer whose end is marked is still passed on as it is.

Ruled out: failures, refusals, other types and unsigned answers in place of the rest were never passed on.

Tests: TestErrorInPlaceOfTheRestOfAStream (72 pairs of a broken stream and what follows, alone and with a third engine that has the rest) failed before for each pair with text in place of events and each stream with an error's head; TestTextThatIsNoEvent. The engines' retries are on in the tests' caller server, as in the program.

--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -405,25 +405,36 @@
 	}
 }
 
-// forwardStream passes on complete events until the end of the stream.
+// forwardStream passes on complete events until the end of the stream. Text that is no event may be the error of an upstream that broke
+// off: where the stream goes on at another upstream it is not passed on, and neither there nor without a marked end does it end the stream.
 func (f *Forwarder) forwardStream(c *Call, sel *selection, p *progress, a *Answer, out Sink, silence *silenceTimer, start time.Time) error {
 	ev := events{r: a.Body}
-	first := true
+	first, joined := true, p.answerBegun
 	var held []byte // blocks that are no event, passed on only if another event or the end of the stream follows
 	for {
 		data, block, err := ev.next()
+		if errors.Is(err, io.EOF) && hasText(held) && (joined || !a.Framed) {
+			err = errTextAtEnd
+		}
 		if errors.Is(err, io.EOF) {
 			a.Release(true)
+			if joined {
+				held = nil
+			}
 			return f.endStream(c, sel, p, a, out, held)
 		}
 		if err != nil {
 			a.Release(false)
 			return err
 		}
-		if !block.fields && !block.comments {
+		if block.end == 0 {
 			held = append(held, data...)
 			continue
 		}
+		data, rest := data[:block.end], data[block.end:]
+		if joined {
+			data, held = withoutText(data), nil
+		}
 		if first {
 			first = false
 			f.recordFirstEvent(c, sel, start)
@@ -435,8 +446,9 @@
 			}
 		}
 		if len(held) > 0 {
-			data, held = append(held, data...), nil
+			data = append(held, data...)
 		}
+		held = append([]byte(nil), rest...)
 		if out.Write(data) != nil {
 			a.Release(false)
 			return ErrCallerGone
--- a/internal/services/forward/events.go
+++ b/internal/services/forward/events.go
@@ -15,6 +15,12 @@
 // errTruncatedEvent means that a stream ended inside an event.
 const errTruncatedEvent = errors.ConstError("the stream ended inside an event")
 
+// errTextAtEnd means that a stream ended with text that is no event.
+const errTextAtEnd = errors.ConstError("the stream ended with text that is no event")
+
+// hasText reports whether blocks without a field hold more than blank lines.
+func hasText(blocks []byte) bool { return len(bytes.TrimSpace(blocks)) > 0 }
+
 // events splits a stream into server-sent events (WHATWG HTML).
 type events struct {
 	r     io.Reader
@@ -98,23 +104,57 @@
 	comments bool   // at least one line is a comment
 	lastID   string // ID of the last event
 	ids      int    // number of events with an ID
+	end      int    // offset behind the last event or comment; what follows it is neither
 }
 
 // scanBlock returns the properties of the events in whole.
 func scanBlock(whole []byte) (b block) {
+	offset, event := 0, false
 	for line := range bytes.Lines(whole) {
+		offset += len(line)
 		line = bytes.TrimSpace(line)
+		if len(line) == 0 {
+			if event {
+				b.end = offset
+			}
+			event = false
+			continue
+		}
 		name, v, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
 		case "id":
 			b.lastID = string(bytes.TrimSpace(v))
 			b.ids++
-			b.fields = true
+			b.fields, event = true, true
 		case "data", "event", "retry":
-			b.fields = true
+			b.fields, event = true, true
 		case "":
-			b.comments = b.comments || len(line) > 0
+			b.comments, event = true, true
 		}
 	}
 	return b
 }
+
+// withoutText returns the events and comments in whole, without the text between them that is neither.
+func withoutText(whole []byte) []byte {
+	var out []byte
+	for len(whole) > 0 {
+		n := firstLength(whole)
+		if scanBlock(whole[:n]).end > 0 {
+			out = append(out, whole[:n]...)
+		}
+		whole = whole[n:]
+	}
+	return out
+}
+
+// firstLength returns the length of the first event of data, which holds complete events.
+func firstLength(data []byte) int {
+	n := len(data)
+	for _, end := range [][]byte{eventEndLF, eventEndCRLF} {
+		if i := bytes.Index(data, end); i >= 0 {
+			n = min(n, i+len(end))
+		}
+	}
+	return n
+}
