A stream goes to the process that has confirmed its incarnation

Callers saw (a report of another operator; here by test): streams of two software versions, where an engine had started again under its name with another version. Two ways: (1) the VM stood still, or the engine ended, between the engine's confirmation and the request, and the next process at the address took the request; (2) a stream began at such an engine, unheard by a VM out of step, was recorded with the version before, and went on at an engine of that one (ORDER).

Cause: (1) the question and the request went over connections of their own; (2) nothing was asked when a stream began.

Now the question is asked on the connection of the request, which ends with its process, once a connection.

Ruled out, the report's own way: a VM out of step that is asked to take a stream up refuses it as not run, whether or not it learns the version (TestResumedStreamAtAVMOutOfStep held at once).

TestStreamDoesNotBeginAtAnUnheardVersion: two cases fail with the question only before a stream goes on, as it was. The stand-in of engines in the tests of forward refuses in Send what it refused in Incarnation.

--- a/internal/modules/upstream/message.go
+++ b/internal/modules/upstream/message.go
@@ -23,6 +23,8 @@
 	IsOwnAnswer func(h http.Header) bool
 	// Allow is called immediately before the write; if it returns false, the request is not sent. Nil always allows it.
 	Allow func() bool
+	// Confirm is asked on the connection first; nil asks nothing.
+	Confirm *Confirmation
 }
 
 // check returns an error if a part of m cannot be written as it is: what follows a line end in it would be read as another field or
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -74,6 +74,7 @@
 	dirty       bool          // bytes that belong to no request may still arrive
 	carried     carried       // requests that it has carried
 	rested      time.Duration // before the present request; zero if it is the first
+	process     uint64        // that has confirmed itself; zero if none was asked
 	closeOnce   sync.Once
 }
 
@@ -125,7 +126,7 @@
 	if err := m.check(); err != nil {
 		return nil, false, errors.Annotatef(err, "request for %s", address)
 	}
-	pc, err := p.acquire(ctx, address, maxConns, m.ID)
+	pc, err := p.acquireConfirmed(ctx, address, maxConns, m)
 	if err != nil {
 		return nil, false, errors.Annotatef(err, "connect to %s", address)
 	}
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -214,8 +214,8 @@
 	start := time.Now()
 	t := f.newTarget(c, sel)
 	t.PromptSource = source
-	if err := f.checkIncarnation(ctx, c, sel, t); err != nil {
-		return f.attemptFailed(ctx, c, sel, p, false, err)
+	if f.mustConfirm(clock.SinceBoot(), c) {
+		t.Incarnation = sel.u.Incarnation
 	}
 	a, sent, err := f.UpstreamClient.Send(ctx, t, c)
 	if err != nil {
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -73,6 +73,7 @@
 	LastEventID    string        // ID of the last event that the caller received
 	CopyFrom       string        // address of an engine to copy a prefix of the prompt from; empty if none
 	PromptSource   string        // location of the processed prompt; empty if the upstream processes it
+	Incarnation    uint64        // that must confirm itself on the connection of the request; zero asks nothing
 	Allow          func() bool   // called right before the write; the request is not sent if it returns false
 }
 
@@ -95,8 +96,6 @@
 	// Read has an engine process the prompt without generating, and returns the location of the result. If NotRun is set in
 	// the result, the engine refused the prompt.
 	Read(ctx context.Context, t Target, c *Call) (p *PrefillResult, sent bool, err error)
-	// Incarnation asks an engine for its incarnation; zero if it does not name one.
-	Incarnation(ctx context.Context, t Target) (uint64, error)
 }
 
 // PrefillResult is a processed prompt.
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -117,6 +117,9 @@
 }
 
 func (u *fakeUpstreams) Send(ctx context.Context, t Target, c *Call) (*Answer, bool, error) {
+	if !u.confirms(t) {
+		return nil, false, upstream.ErrOtherProcess
+	}
 	u.targets = append(u.targets, t)
 	require.NotEmpty(u.t, u.steps, "unexpected send")
 	s := u.steps[0]
@@ -149,12 +152,16 @@
 	return a, true, nil
 }
 
-func (u *fakeUpstreams) Incarnation(_ context.Context, t Target) (uint64, error) {
+// confirms reports whether the engine of t is the process that t names.
+func (u *fakeUpstreams) confirms(t Target) bool {
+	if t.Incarnation == 0 {
+		return true
+	}
 	if n, ok := u.incarnations[t.Upstream]; ok {
-		return n, nil
+		return n == t.Incarnation
 	}
 	announced, _ := u.roster.Snapshot().Find(t.Upstream)
-	return announced.Incarnation, nil
+	return announced.Incarnation == t.Incarnation
 }
 
 func (u *fakeUpstreams) Read(_ context.Context, t Target, _ *Call) (*PrefillResult, bool, error) {
--- a/internal/services/forward/origin.go
+++ b/internal/services/forward/origin.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/route"
@@ -44,22 +43,17 @@
 	f.Origins.Record(c.originKey(c.ID), c.origin)
 }
 
-// incarnationTimeout bounds the question to an engine that is to continue a stream. Engines answer it without a slot.
-const incarnationTimeout = 200 * time.Millisecond
-
-// checkIncarnation returns an error if c has begun and the engine of sel does not confirm that it is the process whose version was announced.
-// An engine may have started again under its name, with another version, since its last heartbeat.
-func (f *Forwarder) checkIncarnation(ctx context.Context, c *Call, sel *selection, t Target) error {
-	if !c.begun {
-		return nil
+// mustConfirm reports whether the engine of c has to confirm its incarnation before it gets c: it may have started again under its name, with
+// another version, since this VM last heard of it. That matters where c goes on there, and where c begins as a stream that may go on
+// elsewhere, if this VM knows of several versions or may have missed one.
+func (f *Forwarder) mustConfirm(now time.Duration, c *Call) bool {
+	if c.begun {
+		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
-	defer cancel()
-	n, err := f.UpstreamClient.Incarnation(ctx, t)
-	if err == nil && n != sel.u.Incarnation {
-		err = errors.Errorf("incarnation %d in place of %d", n, sel.u.Incarnation)
+	if c.route.Kind != route.Stream || !c.route.Resumable {
+		return false
 	}
-	return errors.Annotatef(err, "check %s before it continues a stream", sel.u.Name)
+	return f.Roster.Snapshot().Mixed[c.service.ID] || f.Roster.Stale(now)
 }
 
 // findOrigin finds where the stream that c resumes began. Without it c is refused, since the wrong version would corrupt the stream; so it
--- a/internal/services/forward/version_test.go
+++ b/internal/services/forward/version_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -14,6 +15,7 @@
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/origin"
+	"wagtaillift/internal/services/roster"
 )
 
 // announceVersions adds engines of the given versions and returns the version of every engine of the fixture.
@@ -205,3 +207,65 @@
 		})
 	}
 }
+
+// During a release an engine had started again under its name with another version, unheard by a VM that was out of step. A stream that
+// began there was recorded with the version before, and went on at an engine of that one.
+func TestStreamDoesNotBeginAtAnUnheardVersion(t *testing.T) {
+	whole := sendResult{status: 200, stream: true, body: sampleEvents(1, 4)}
+	restarted := map[id.Upstream]uint64{"e1": 3}
+	serve := func(t *testing.T, s *fixture, path string) Target {
+		s.up.incarnations = restarted
+		for i := range 20 {
+			s.up.steps = []sendResult{whole}
+			c := newCall(path)
+			c.ID = id.Request(fmt.Sprint("q", i))
+			c.PromptParts[0].Chain = uint64(i)
+			require.NoError(t, s.Serve(context.Background(), c, &fakeSink{}))
+			if path == "/resumable/" {
+				require.NotEqual(t, id.Upstream("e1"), s.up.targets[len(s.up.targets)-1].Upstream)
+			}
+		}
+		return s.up.targets[0]
+	}
+	t.Run("several versions are known", func(t *testing.T) {
+		s := newFixture(t)
+		s.announceVersions(t, "v1", "v1", "v2", "v2")
+		require.NotZero(t, serve(t, s, "/resumable/").Incarnation)
+	})
+	t.Run("the lists of other VMs are old", func(t *testing.T) {
+		s := newFixture(t)
+		s.announceVersions(t, "v1", "v1", "v1")
+		s.Roster.Apply(clock.SinceBoot()-2*time.Second, roster.ListUpdate{VM: "vm2", Epoch: 1, Version: 1, Full: true})
+		require.NotZero(t, serve(t, s, "/resumable/").Incarnation)
+	})
+	t.Run("streams that cannot go on elsewhere ask nothing", func(t *testing.T) {
+		s := newFixture(t)
+		s.announceVersions(t, "v1", "v2")
+		require.Zero(t, serve(t, s, "/stream/").Incarnation)
+	})
+	t.Run("nor does a VM in step while there is one version", func(t *testing.T) {
+		s := newFixture(t, whole)
+		s.announceVersions(t, "v1", "v1")
+		s.Roster.Apply(clock.SinceBoot(), roster.ListUpdate{VM: "vm2", Epoch: 1, Version: 1, Full: true})
+		require.NoError(t, s.Serve(context.Background(), newCall("/resumable/"), &fakeSink{}))
+		require.Zero(t, s.up.targets[0].Incarnation)
+	})
+}
+
+// A VM out of step does not know the engines of a version that has joined. A stream that began there is refused as not run, whether or
+// not the VM learns of its version.
+func TestResumedStreamAtAVMOutOfStep(t *testing.T) {
+	for name, known := range map[string]bool{"another VM tells the version": true, "cut off from the others": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t)
+			s.announceVersions(t, "v1", "v1", "v1")
+			if known {
+				s.Origins.Table.Put(clock.SinceBoot(), origin.Key{Customer: "c", Request: "q0"}, origin.Origin{Service: model, Version: "v2"})
+			}
+			r := requireRefusal(t, s.Serve(context.Background(), resumingCall("/resumable/"), &fakeSink{}))
+			require.Equal(t, 503, r.Status)
+			require.Equal(t, call.RunNo, r.Run)
+			require.Empty(t, s.up.targets)
+		})
+	}
+}
--- a/internal/services/roster/roster.go
+++ b/internal/services/roster/roster.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,6 +46,7 @@
 	Models   map[id.Model][]*Upstream
 	Services map[id.Service][]*Upstream
 	All      []*Upstream
+	Mixed    map[id.Service]bool // services with upstreams of several software versions
 }
 
 // Find returns the upstream n if it accepts new requests.
@@ -69,6 +71,7 @@
 	ended            map[id.Upstream]ended // incarnations that refused connections, see MarkCrashed
 	departed         map[id.Upstream]ended // reported as leaving by any VM; nil if an incarnation may become ready again
 	current          rcu.Value[*Snapshot]
+	oldestList       atomic.Int64 // time of the last confirmation of the list that was confirmed least recently; zero if there is none
 	changed          func()
 
 	pause     time.Duration // between two rebuilds, for each upstream in the list
@@ -231,6 +234,7 @@
 	if ownChanged || changed {
 		r.update(now)
 	}
+	r.noteOldestList()
 	r.mu.Unlock()
 	if ownChanged {
 		r.changed()
@@ -263,6 +267,27 @@
 	r.update(now)
 }
 
+// maxListAge is how old the lists of other VMs are at most while these are refreshed as planned.
+const maxListAge = refreshInterval + maxRelayedAge
+
+// Stale reports whether a list of another VM was last confirmed so long before now that upstreams may have started or ended unheard. It
+// takes no lock.
+func (r *Roster) Stale(now time.Duration) bool {
+	oldest := r.oldestList.Load()
+	return oldest > 0 && now-time.Duration(oldest) > maxListAge
+}
+
+// noteOldestList updates the time for Stale. r.mu must be held.
+func (r *Roster) noteOldestList() {
+	oldest := int64(0)
+	for _, p := range r.peers {
+		if at := max(1, int64(p.recordedAt)); oldest == 0 || at < oldest {
+			oldest = at
+		}
+	}
+	r.oldestList.Store(oldest)
+}
+
 // HasAddress reports whether an upstream is announced at address, also one that has crashed: a VM that has noticed the crash can confirm it
 // to others.
 func (r *Roster) HasAddress(address string) bool {
@@ -363,7 +388,7 @@
 	for _, u := range r.Snapshot().All {
 		previous[u.Name] = u
 	}
-	next := &Snapshot{Models: map[id.Model][]*Upstream{}, Services: map[id.Service][]*Upstream{}}
+	next := &Snapshot{Models: map[id.Model][]*Upstream{}, Services: map[id.Service][]*Upstream{}, Mixed: map[id.Service]bool{}}
 	for name, a := range best {
 		if a.State != engine.Ready {
 			continue
@@ -383,6 +408,9 @@
 			next.Models[u.Model] = append(next.Models[u.Model], u)
 		} else {
 			next.Services[u.Service] = append(next.Services[u.Service], u)
+			if u.Version != next.Services[u.Service][0].Version {
+				next.Mixed[u.Service] = true
+			}
 		}
 	}
 	r.pruneStats(best)
--- a/internal/services/roster/update.go
+++ b/internal/services/roster/update.go
@@ -126,6 +126,7 @@
 func (r *Roster) Apply(now time.Duration, v ListUpdate) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.noteOldestList()
 	p, known := r.peers[v.VM]
 	if known && (v.Epoch < p.epoch || v.Epoch == p.epoch && v.Version < p.version) {
 		return true // arrived out of order; a newer update was applied
