--- a/internal/modules/upstream/confirm.go
+++ b/internal/modules/upstream/confirm.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if b, ok := resp.Body.(*body); !ok || !b.ended || resp.Close || pc.r.Buffered() > 0 || !stop() {
+	if b, ok := resp.Body.(*body); !ok || !b.ended || resp.Close || pc.dirty || pc.r.Buffered() > 0 || !stop() {
 		return 0, errors.New("the connection cannot be used after the answer")
 	}
 	return n, nil
