The timer of an attempt has its own set of tried upstreams

What callers may see: the set is a Go map that the silence timer read while the next attempt wrote it; a collision ends the process with all its requests. Reported once by the race detector in the review; no collision was seen. The OpenAI-style face shared its set the same way.

Now each timer has a copy of the set as it was when the attempt began. Looked at for what they share: the other timers and callbacks of forward and dispatch; they use atomics, contexts and values of their own.

Test: TestSilenceTimerKeepsItsOwnSetOfTriedUpstreams; with the shared set it fails after its 30 s, and the race detector reports it.

--- a/internal/services/dispatch/silence.go
+++ b/internal/services/dispatch/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,7 @@
 // engine may go on. Otherwise the engine may just be slow, and is waited for until the deadline.
 func (d *Dispatcher) leaveSilent(ctx context.Context, c *call.Call, u *roster.Upstream, pr *progress, tried map[id.Upstream]bool, cancel context.CancelFunc) func(begun bool) bool {
 	last, began := pr.attempts >= maxAttempts, pr.tokens > 0
+	tried = maps.Clone(tried) // the next attempt may add to it while the timer runs
 	return func(begun bool) bool {
 		if ctx.Err() != nil {
 			return true
--- a/internal/services/forward/silence.go
+++ b/internal/services/forward/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/models/route"
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -36,10 +38,11 @@
 	w := &silenceTimer{gap: max(minSilenceTimeout, scaleDuration(c.route.GapObjective, gapTimeoutFactor))}
 	w.begun.Store(c.begun)
 	service, budget, burst := c.service.ID, f.retryBudget(c), f.retryBurst()
+	tried := maps.Clone(p.tried) // the next attempt may add to it while the timer runs
 	w.timer = time.AfterFunc(time.Hour, func() {
 		switch {
 		case ctx.Err() != nil:
-		case budget.Room(burst) && f.otherLeft(f.Roster.Snapshot().Services[service], sel.u, p, w.begun.Load()):
+		case budget.Room(burst) && f.otherLeft(f.Roster.Snapshot().Services[service], sel.u, tried, w.begun.Load()):
 			cancel(errSilent)
 		default:
 			klog.V(1).InfoS("Silent upstream is waited for", "request", c.ID, "upstream", sel.u.Name)
@@ -52,10 +55,10 @@
 
 // otherLeft reports whether list has an upstream that can take over from the present one now. A stream that has begun goes on at its
 // version only.
-func (f *Forwarder) otherLeft(list []*roster.Upstream, present *roster.Upstream, p *progress, begun bool) bool {
+func (f *Forwarder) otherLeft(list []*roster.Upstream, present *roster.Upstream, tried map[id.Upstream]bool, begun bool) bool {
 	now := clock.SinceBoot()
 	for _, u := range list {
-		if p.tried[u.Name] || u.Role == engine.Prefill || begun && u.Version != present.Version {
+		if tried[u.Name] || u.Role == engine.Prefill || begun && u.Version != present.Version {
 			continue
 		}
 		if f.Pace.Wait(now, u) == 0 && !u.Stats.CircuitOpen(now) {
--- a/internal/services/forward/silence_test.go
+++ b/internal/services/forward/silence_test.go
@@ -10,6 +10,7 @@
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/clock"
+	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/roster"
 )
 
@@ -46,6 +47,27 @@
 	})
 }
 
+// The timer of an attempt read the set of tried upstreams while the next attempt wrote it: two threads in one map, which ends the process.
+// What is tried later does not change the judgement of a silent upstream either.
+func TestSilenceTimerKeepsItsOwnSetOfTriedUpstreams(t *testing.T) {
+	t.Parallel()
+	s, c := newFixture(t), newCall("/resumable/")
+	require.NoError(t, s.decide(context.Background(), c))
+	u, ok := s.Roster.Snapshot().Find("e1")
+	require.True(t, ok)
+	p := &progress{tried: map[id.Upstream]bool{"e1": true}}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	w := s.silenceTimer(ctx, c, &selection{u: u}, p, cancel)
+	defer w.stop()
+	p.tried["e2"] = true
+	for ctx.Err() == nil {
+		p.tried["e1"] = true
+		time.Sleep(time.Millisecond)
+		require.Less(t, clock.SinceBoot()-c.StartSinceBoot, 30*time.Second, "the silent upstream was not left")
+	}
+	require.ErrorIs(t, context.Cause(ctx), errSilent)
+}
+
 // An upstream that is only silent towards the fleet for a while keeps the request that runs on it.
 func TestSilentUpstreamKeepsItsRequest(t *testing.T) {
 	const heartbeats = 50 * time.Millisecond
