A name with spaces around it is not sent as another name

HTTP drops spaces around a value.

Now such a request is refused as not run, as one with a line end in its header is. Test: TestLineEndsAreNotSent, whose new case failed before.

--- a/internal/modules/upstream/message.go
+++ b/internal/modules/upstream/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 
@@ -28,7 +29,7 @@
 }
 
 // check returns an error if a part of m cannot be written as it is: what follows a line end in it would be read as another field or
-// request. Some values come from configurations and from answers of upstreams.
+// request, and spaces around a value would be dropped. Some values come from configurations and from answers of upstreams.
 func (m *Message) check() error {
 	if strings.ContainsFunc(m.Target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
 		return errors.NotValidf("target %q", m.Target)
@@ -38,7 +39,7 @@
 	}
 	for k, list := range m.Header {
 		for _, v := range list {
-			if !httpguts.ValidHeaderFieldName(k) || !httpguts.ValidHeaderFieldValue(v) {
+			if !httpguts.ValidHeaderFieldName(k) || !httpguts.ValidHeaderFieldValue(v) || v != textproto.TrimString(v) {
 				return errors.NotValidf("header field %q: %q", k, v)
 			}
 		}
