--- a/internal/services/pool/pool.go
+++ b/internal/services/pool/pool.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -23,7 +24,7 @@
 	methodTake     = "take"
 	maxSharingVMs  = 32                     // entry VMs up to which each of them has shares of its own
 	maxAsked       = 2                      // holders that are asked for one request: the preferred one and its successor
-	answerTimeout  = 50 * time.Millisecond  // of one holder, beyond the time for which the request may wait
+	answerTimeout  = 50 * time.Millisecond  // of one holder, unless the service sets another
 	failureHolds   = time.Second            // in which a holder that did not answer is asked last
 	membersRefresh = 200 * time.Millisecond // age of the list of holders from which it is made again
 )
@@ -41,6 +42,8 @@
 	Limiter   *limit.Limiter
 	// Holding reports whether this VM may admit requests of c: it has a lease and is not stopping.
 	Holding func(now time.Duration, c id.Customer) bool
+	// AnswerTimeout bounds the answer of one holder, beyond the time for which the request may wait; zero is answerTimeout.
+	AnswerTimeout time.Duration
 
 	current  atomic.Pointer[holders]
 	failedAt sync.Map // id.VM to the time.Duration of the latest question without an answer
@@ -108,7 +111,7 @@
 	if vm == s.VM {
 		return s.admit(ctx, q)
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(0, q.Wait)+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(0, q.Wait)+cmp.Or(s.AnswerTimeout, answerTimeout))
 	defer cancel()
 	a, err := peer.Call[limit.Answer](ctx, s.Transport, address, methodTake, q)
 	return a, errors.Annotatef(err, "take tokens of %s at %s", q.Customer, vm)
