A call right after a stateless reset dials anew

Cause: quic-go refuses streams on a connection that has ended a moment before its context ends, and the context alone decided whether the connection is replaced. Evidence: 40 of 720 runs under -race beside the same load failed in the second call, whose error has neither "dial" nor "read call": it is that of opening the stream. Now such a connection is dropped and dialled anew, once; no byte of the call has been sent then. Tunnels open their streams the same way.

--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -327,15 +327,11 @@
 	t.Stats.Calls.Add(1)
 	pc := t.connection(address)
 	defer pc.begin()()
-	conn, err := t.connect(ctx, pc, address)
+	conn, s, err := t.openStream(ctx, pc, address)
 	if err != nil {
 		return nil, errors.WithType(err, ErrUnreachable)
 	}
 	received := conn.ConnectionStats().PacketsReceived
-	s, err := conn.OpenStreamSync(ctx)
-	if err != nil {
-		return nil, errors.WithType(err, ErrUnreachable)
-	}
 	stop := context.AfterFunc(ctx, func() {
 		s.CancelRead(codeCallEnded)
 		s.CancelWrite(codeCallEnded)
@@ -362,6 +358,33 @@
 	return a.Body, nil
 }
 
+// openStream opens a stream to address. A connection that has ended is replaced once: it refuses streams a moment before its context ends.
+func (t *Transport) openStream(ctx context.Context, pc *connection, address string) (*quic.Conn, *quic.Stream, error) {
+	for first := true; ; first = false {
+		conn, err := t.connect(ctx, pc, address)
+		if err != nil {
+			return nil, nil, err
+		}
+		s, err := conn.OpenStreamSync(ctx)
+		if err == nil {
+			return conn, s, nil
+		}
+		if !first || ctx.Err() != nil {
+			return nil, nil, err
+		}
+		pc.drop(conn)
+	}
+}
+
+// drop forgets conn if it is still the open connection.
+func (pc *connection) drop(conn *quic.Conn) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.conn == conn {
+		pc.conn = nil
+	}
+}
+
 // connection returns the state of the connection to address, which it creates if needed.
 func (t *Transport) connection(address string) *connection {
 	t.mu.Lock()
--- a/internal/modules/peer/tunnel.go
+++ b/internal/modules/peer/tunnel.go
@@ -83,12 +83,7 @@
 	t.Stats.Calls.Add(1)
 	pc := t.connection(address)
 	done := pc.begin()
-	conn, err := t.connect(ctx, pc, address)
-	if err != nil {
-		done()
-		return nil, nil, errors.WithType(err, ErrUnreachable)
-	}
-	s, err := conn.OpenStreamSync(ctx)
+	conn, s, err := t.openStream(ctx, pc, address)
 	if err != nil {
 		done()
 		return nil, nil, errors.WithType(err, ErrUnreachable)
