Log the first block of an upstream's stream that is not sound

The logs could not tell the hypotheses of docs/incidents/order-foreign-bytes-in-a-stream.md apart: a VM that passes such bytes on takes the answer for a success and says nothing. The line names the request, the upstream, the last sound ID, what was wrong with the block and its first bytes, and what tells the hypotheses apart: whether the answer is the first or goes on (joined), whether its end is marked, and whether it came on a new, a kept or a relayed connection. Nothing else changes: what is passed on stays as it was.

What an event looks like is said by the wire (platform.EventFormat): IDs count up by one from 1, and one field beside those of the standard.

--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -221,6 +221,14 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
+// Connection tells in logs whether the answer came on a new connection, a kept one, or one through another VM.
+func (r *Reply) Connection() string {
+	if _, direct := r.pooledConn.conn.(syscall.Conn); !direct {
+		return "relayed"
+	}
+	return r.pooledConn.age()
+}
+
 // reusable reports whether the connection can carry another request: the upstream does not close it, no extra bytes
 // have arrived on it, and the request was written completely.
 func (r *Reply) reusable() bool {
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -58,7 +58,7 @@
 		Window: func(now time.Duration) id.Window {
 			return id.WindowAt(a.FleetTime(now), v.cfg.Billing.Window)
 		},
-		Orders: a.State().LatestOrders,
+		Orders: a.State().LatestOrders, EventFormat: platform.EventFormat,
 		Retries: forward.Retries{
 			Ratio: retryBudgetFraction * v.cfg.Route.Retries.Ratio,
 			Burst: retryBudgetFraction * v.cfg.Route.Retries.Burst, EmptyUntil: emptyUntil,
--- a/internal/services/forward/answer.go
+++ b/internal/services/forward/answer.go
@@ -84,8 +84,12 @@
 	ev := events{r: a.Body}
 	first, joined := true, p.answerBegun
 	var held []byte // blocks that are no event, passed on only if another event or the end of the stream follows
+	watch := f.newWatch(c, joined)
 	for {
 		data, block, err := ev.next()
+		if err := watch.note(data); err != nil {
+			logUnsound(c, sel, a, joined, watch.last, err)
+		}
 		if errors.Is(err, io.EOF) && hasText(held) && (joined || !a.Framed) {
 			err = errTextAtEnd
 		}
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -86,8 +86,10 @@
 	Signals             // of the upstream about itself
 	Length  int64       // length of the body; -1 if unknown
 	Framed  bool        // the end of the body is marked; otherwise the body ends with its connection
-	Body    io.Reader
-	Release func(whole bool) // reuses the connection if the body was read completely, and closes it otherwise
+	// Connection tells in logs whether the answer came on a new connection, a kept one, or one through another VM.
+	Connection string
+	Body       io.Reader
+	Release    func(whole bool) // reuses the connection if the body was read completely, and closes it otherwise
 }
 
 // UpstreamClient sends requests to upstreams. If an error comes with sent false, no byte of the request was sent.
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -69,6 +69,7 @@
 	Window         func(now time.Duration) id.Window
 	Members        func() int // number of VMs that send requests to upstreams
 	Retries        Retries
+	EventFormat    EventFormat // of the answers on routes for streams
 	// Orders returns the last order of every upstream. An upstream that is changing its role gets no new requests.
 	Orders func() map[id.Upstream]order.Order
 
