The events of a stream are checked where they come in

Cause: what an engine wrote into its own first answer was trusted. forwardStream passed on text between events and at a marked end, and took any block with a field for an event, whatever its ID; only what followed an earlier attempt was looked at, and there text was left out as if the rest were sound. The class: bytes of a peer are passed on, or acted on, before they are known to be what the protocol says.

Now eventCheck decides for each block, before a byte of it is passed on, whether it is an event of the wire's format (its fields, an ID that follows, data, text, one kind of line end) or a comment. It is used for every stream on a route for streams: first answers, answers that go on, kept, new and relayed connections. A block that is not sound fails the attempt: nothing of it reaches the caller, the stream goes on at another upstream after the last sound event where that is allowed, else it is cut; the log line, a counter and the upstream's record show it. So does a success without an event, and one of another type on a route for streams. Streams on other routes are the service's own body, as before.

Changed: TestBlocksWithoutFields and TestTextThatIsNoEvent required that text in a first answer is passed on, and that text in the rest of a stream is dropped while the rest counts as sound. They now require that the stream ends there or goes on elsewhere; the old expectation stays for streams on other routes (TestBlocksOfOtherEventStreams). TestLeavingInAnswer's stand-in answered a request for a stream with a word; it sends events now.

--- a/internal/services/forward/answer.go
+++ b/internal/services/forward/answer.go
@@ -5,9 +5,16 @@
 	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/models/route"
 )
 
+// unsoundStreams counts the streams of upstreams that held a block that is not sound.
+var unsoundStreams = metrics.NewCounter("wagtaillift_unsound_streams_total")
+
 const (
 	maxBufferedBytes = 64 << 10 // answers up to this size are buffered before their first byte goes to the caller
 	copyBufferBytes  = 16 << 10
@@ -78,41 +85,31 @@
 	}
 }
 
-// forwardStream passes on complete events until the end of the stream. Text that is no event may be the error of an upstream that broke
-// off: where the stream goes on at another upstream it is not passed on, and neither there nor without a marked end does it end the stream.
+// forwardStream passes on the sound blocks of a stream until its end. A block that is not sound is a failure of the upstream.
 func (f *Forwarder) forwardStream(c *Call, sel *selection, p *progress, a *Answer, out Sink, silence *silenceTimer, start time.Time) error {
-	ev := events{r: a.Body}
+	ev := events{r: a.Body, check: f.eventCheck(c)}
 	first, joined := true, p.answerBegun
-	var held []byte // blocks that are no event, passed on only if another event or the end of the stream follows
-	watch := f.newWatch(c, joined)
 	for {
-		data, block, err := ev.next()
-		if err := watch.note(data); err != nil {
-			logUnsound(c, sel, a, joined, watch.last, err)
-		}
-		if errors.Is(err, io.EOF) && hasText(held) && (joined || !a.Framed) {
-			err = errTextAtEnd
-		}
+		b, err := ev.next()
 		if errors.Is(err, io.EOF) {
+			if err := c.checkEnd(a, b.data, joined, first); err != nil {
+				a.Release(false)
+				return err
+			}
 			a.Release(true)
 			if joined {
-				held = nil
+				return nil
 			}
-			return f.endStream(c, sel, p, a, out, held)
+			return f.endStream(c, sel, p, a, out, b.data)
 		}
 		if err != nil {
 			a.Release(false)
+			if ev.unsound != nil {
+				logUnsound(c, sel, a, joined, err)
+			}
 			return err
 		}
-		if block.end == 0 {
-			held = append(held, data...)
-			continue
-		}
-		data, rest := data[:block.end], data[block.end:]
-		if joined {
-			data, held = withoutText(data), nil
-		}
-		if first {
+		if first && b.fields {
 			first = false
 			f.recordFirstEvent(c, sel, start)
 		}
@@ -122,24 +119,49 @@
 				return err
 			}
 		}
-		if len(held) > 0 {
-			data = append(held, data...)
-		}
-		held = append([]byte(nil), rest...)
-		if out.Write(data) != nil {
+		if out.Write(b.data) != nil {
 			a.Release(false)
 			return ErrCallerGone
 		}
-		if block.fields {
+		if b.fields {
 			silence.reset()
 		}
-		c.events += block.ids
-		if block.lastID != "" {
-			c.lastEventID = block.lastID
+		c.events += b.events
+		if b.lastID != "" {
+			c.lastEventID = b.lastID
 		}
 	}
 }
 
+// eventCheck returns the check of the answer to the next attempt of c. The bodies of other routes than those for streams are the service's
+// own, even if they are event streams.
+func (f *Forwarder) eventCheck(c *Call) eventCheck {
+	if c.route.Kind != route.Stream {
+		return eventCheck{}
+	}
+	return newEventCheck(f.EventFormat, c.resumesAfter())
+}
+
+// resumesAfter returns the ID of the last event that the caller has of the stream, or an empty string if it begins with the next answer.
+func (c *Call) resumesAfter() string {
+	if c.lastEventID != "" {
+		return c.lastEventID
+	}
+	return c.LastEventID
+}
+
+// checkEnd returns an error if the end of a stream, with blocks that are neither events nor comments before it, may be that of an upstream
+// that broke off. Only what goes on after an event may have none, if its end is marked.
+func (c *Call) checkEnd(a *Answer, rest []byte, joined, empty bool) error {
+	switch {
+	case hasText(rest) && (joined || !a.Framed):
+		return errTextAtEnd
+	case c.route.Kind == route.Stream && empty && (c.resumesAfter() == "" || !a.Framed):
+		return errNoEvent
+	}
+	return nil
+}
+
 // endStream passes on what is left of a complete stream.
 func (f *Forwarder) endStream(c *Call, sel *selection, p *progress, a *Answer, out Sink, rest []byte) error {
 	if !p.answerBegun {
@@ -153,6 +175,12 @@
 	return nil
 }
 
+// logUnsound logs and counts a block of a stream that is not sound.
+func logUnsound(c *Call, sel *selection, a *Answer, joined bool, err error) {
+	unsoundStreams.Inc()
+	klog.InfoS("Stream of an upstream is not sound", "request", c.ID, "upstream", sel.u.Name, "address", sel.u.Address, "connection", a.Connection, "framed", a.Framed, "joined", joined, "last", c.resumesAfter(), "err", err)
+}
+
 func (f *Forwarder) beginAnswer(c *Call, sel *selection, p *progress, a *Answer, out Sink) error {
 	p.answerBegun = true
 	f.recordOrigin(c, sel)
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
+	"wagtaillift/internal/models/route"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/upstream"
@@ -230,6 +231,9 @@
 	case p.answerBegun:
 		a.Release(false)
 		err = errors.Errorf("status %d in place of the rest of a stream", a.Status)
+	case c.route.Kind == route.Stream && a.Status/100 == 2:
+		a.Release(false)
+		err = errors.Errorf("status %d without a stream", a.Status)
 	default:
 		err = f.forwardPlain(c, sel, p, a, out)
 	}
--- a/internal/services/forward/check.go
+++ b/internal/services/forward/check.go
@@ -7,9 +7,6 @@
 	"unicode/utf8"
 
 	"github.com/juju/errors"
-	"k8s.io/klog/v2"
-
-	"wagtaillift/internal/models/route"
 )
 
 // EventFormat describes the events of a stream whose events are numbered. The zero value allows the fields of the standard only.
@@ -30,23 +27,24 @@
 	errMissingData   = errors.ConstError("an event without data")
 )
 
-// eventCheck checks the blocks of one stream in order. A block is what stands up to and including a blank line.
+// eventCheck checks the blocks of one stream in order. A block is what stands up to and including a blank line. The zero value takes any
+// block.
 type eventCheck struct {
-	format EventFormat
-	next   uint64 // ID of the next event; zero if any ID may follow
-	begun  bool   // a block was checked
+	format   EventFormat
+	numbered bool   // blocks must be comments or events with IDs that follow each other
+	next     uint64 // ID of the next event; zero if any ID may follow
+	begun    bool   // a block was checked
 }
 
-// newEventCheck returns the check of a stream that goes on after the event with ID last, which is empty for a new run.
+// newEventCheck returns the check of a numbered stream that goes on after the event with ID last, which is empty for a new run.
 func newEventCheck(f EventFormat, last string) eventCheck {
+	c := eventCheck{format: f, numbered: true}
 	if last == "" {
-		return eventCheck{format: f, next: f.FirstID}
-	}
-	n, err := parseEventID([]byte(last))
-	if err != nil {
-		return eventCheck{format: f} // a caller's own word
+		c.next = f.FirstID
+	} else if n, err := parseEventID([]byte(last)); err == nil { // a caller may name any ID
+		c.next = n + 1
 	}
-	return eventCheck{format: f, next: n + 1}
+	return c
 }
 
 // maxIDDigits keeps IDs below the largest unsigned integer.
@@ -83,6 +81,8 @@
 	}
 	f, err := c.parse(block)
 	switch {
+	case !c.numbered:
+		return f, nil
 	case err != nil:
 		return f, err
 	case !utf8.Valid(block):
@@ -111,7 +111,7 @@
 	return nil
 }
 
-// parse returns the lines of block.
+// parse returns the fields of block, and an error if it has a line that does not belong there.
 func (c *eventCheck) parse(block []byte) (f fields, err error) {
 	for line := range bytes.Lines(block) {
 		line = bytes.TrimSuffix(line, []byte("\n"))
@@ -131,7 +131,7 @@
 			continue
 		case "id":
 			if f.hasID {
-				return f, errSecondID
+				err = errSecondID
 			}
 			f.hasID, f.id = true, bytes.TrimPrefix(v, []byte(" "))
 		case "data":
@@ -139,63 +139,11 @@
 		case "event", "retry":
 		default:
 			if !slices.Contains(c.format.Fields, string(name)) {
-				return f, errForeignLine
+				err = errForeignLine
+				continue
 			}
 		}
 		f.count++
 	}
-	return f, nil
-}
-
-// blockLength returns the length of the block at the start of data, or zero if it is not complete.
-func blockLength(data []byte) int {
-	for n := 0; n < len(data); {
-		i := bytes.IndexByte(data[n:], '\n')
-		if i < 0 {
-			return 0
-		}
-		line := data[n : n+i]
-		n += i + 1
-		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-			return n
-		}
-	}
-	return 0
-}
-
-// watch notes the first block of a stream that is not sound.
-type watch struct {
-	check eventCheck
-	last  string // ID of the last sound event
-	ended bool   // nothing is left to note
-}
-
-func (f *Forwarder) newWatch(c *Call, joined bool) *watch {
-	last := c.LastEventID
-	if joined {
-		last = c.lastEventID
-	}
-	return &watch{check: newEventCheck(f.EventFormat, last), last: last, ended: c.route.Kind != route.Stream}
-}
-
-// note returns an error at the first block of data that is not sound.
-func (w *watch) note(data []byte) error {
-	for n := blockLength(data); n > 0 && !w.ended; n = blockLength(data) {
-		f, err := w.check.check(data[:n])
-		if err != nil {
-			w.ended = true
-			return errors.Annotatef(err, "in %q", data[:min(n, maxLoggedBlock)])
-		}
-		if f.hasID {
-			w.last = string(f.id)
-		}
-		data = data[n:]
-	}
-	return nil
-}
-
-const maxLoggedBlock = 96 // bytes
-
-func logUnsound(c *Call, sel *selection, a *Answer, joined bool, last string, err error) {
-	klog.InfoS("Stream of an upstream is not sound", "request", c.ID, "upstream", sel.u.Name, "address", sel.u.Address, "connection", a.Connection, "framed", a.Framed, "joined", joined, "last", last, "err", err)
+	return f, err
 }
--- a/internal/services/forward/events.go
+++ b/internal/services/forward/events.go
@@ -18,49 +18,99 @@
 // errTextAtEnd means that a stream ended with text that is no event.
 const errTextAtEnd = errors.ConstError("the stream ended with text that is no event")
 
+// errNoEvent means that a stream ended without an event although it began a run.
+const errNoEvent = errors.ConstError("the stream ended without an event")
+
 // hasText reports whether blocks without a field hold more than blank lines.
 func hasText(blocks []byte) bool { return len(bytes.TrimSpace(blocks)) > 0 }
 
-// events splits a stream into server-sent events (WHATWG HTML).
+// events splits a stream into blocks of server-sent events (WHATWG HTML), and returns them once they are checked.
 type events struct {
-	r     io.Reader
-	data  []byte
-	start int // offset of the first byte not returned yet
-	noise int // bytes of blocks without a field since the last event
+	r       io.Reader
+	check   eventCheck
+	data    []byte
+	start   int   // offset of the first byte not returned yet
+	checked int   // offset behind the last block that was checked
+	noise   int   // bytes of blocks without a field since the last event
+	unsound error // what is wrong with the block at checked
 }
 
 const minReadBytes = 4 << 10 // minimum free space of the buffer before a read
 
-var (
-	eventEndLF   = []byte("\n\n")
-	eventEndCRLF = []byte("\r\n\r\n")
-)
+// batch is a number of complete blocks.
+type batch struct {
+	data   []byte
+	events int    // with an ID
+	lastID string // ID of the last of them
+	fields bool   // at least one line is a field of an event
+}
 
-// next returns the complete events that have arrived, at least one, or io.EOF at the end of the stream. The result is
-// valid until the next call. More than maxNoiseBytes without an event are an error.
-func (e *events) next() ([]byte, block, error) {
+// next returns the sound blocks that have arrived, with at least one event or comment among them. At the end of the stream it returns io.EOF
+// and the blocks without one that are left. The result is valid until the next call. A block that is not sound, and more than
+// maxNoiseBytes without an event, are an error once the blocks before have been returned.
+func (e *events) next() (batch, error) {
 	for {
-		if n := completeLength(e.data[e.start:]); n > 0 {
-			whole := e.data[e.start : e.start+n]
-			e.start += n
-			b := scanBlock(whole)
-			return whole, b, e.countNoise(whole, b)
+		if b := e.take(); len(b.data) > 0 {
+			return b, nil
+		}
+		if e.unsound != nil {
+			return batch{}, e.unsound
+		}
+		err := e.fill()
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF) && e.checked < len(e.data):
+			return batch{}, errTruncatedEvent
+		default:
+			return batch{data: e.data[e.start:]}, err
+		}
+	}
+}
+
+// take checks the complete blocks that have arrived and returns those up to the last event or comment.
+func (e *events) take() (b batch) {
+	end := e.start
+	for e.unsound == nil {
+		n := blockLength(e.data[e.checked:])
+		if n == 0 {
+			break
 		}
-		if err := e.fill(); err != nil {
-			if errors.Is(err, io.EOF) && e.start < len(e.data) {
-				return nil, block{}, errTruncatedEvent
-			}
-			return nil, block{}, err
+		block := e.data[e.checked : e.checked+n]
+		f, err := e.check.check(block)
+		if err == nil {
+			err = e.countNoise(n, f)
 		}
+		if err != nil {
+			e.unsound = errors.Annotatef(err, "in %q", block[:min(n, maxLoggedBlock)])
+			break
+		}
+		e.checked += n
+		if f.count == 0 && f.comments == 0 {
+			continue
+		}
+		end = e.checked
+		b.add(f)
+	}
+	b.data, e.start = e.data[e.start:end], end
+	return b
+}
+
+const maxLoggedBlock = 96 // bytes
+
+func (b *batch) add(f fields) {
+	b.fields = b.fields || f.count > 0
+	if f.hasID {
+		b.events++
+		b.lastID = string(f.id)
 	}
 }
 
-func (e *events) countNoise(whole []byte, b block) error {
-	if b.fields {
+func (e *events) countNoise(n int, f fields) error {
+	if f.count > 0 {
 		e.noise = 0
 		return nil
 	}
-	if e.noise += len(whole); e.noise > maxNoiseBytes {
+	if e.noise += n; e.noise > maxNoiseBytes {
 		return errors.Errorf("more than %d bytes that are no event", maxNoiseBytes)
 	}
 	return nil
@@ -69,6 +119,7 @@
 func (e *events) fill() error {
 	if e.start > 0 {
 		e.data = append(e.data[:0], e.data[e.start:]...)
+		e.checked -= e.start
 		e.start = 0
 	}
 	if len(e.data) > maxEventBytes {
@@ -86,75 +137,18 @@
 	return err
 }
 
-// completeLength returns the length of the complete events at the start of data.
-func completeLength(data []byte) int {
-	n := 0
-	if i := bytes.LastIndex(data, eventEndLF); i >= 0 {
-		n = i + len(eventEndLF)
-	}
-	if i := bytes.LastIndex(data, eventEndCRLF); i >= 0 {
-		n = max(n, i+len(eventEndCRLF))
-	}
-	return n
-}
-
-// block describes some complete events.
-type block struct {
-	fields   bool   // at least one line is a field of an event
-	comments bool   // at least one line is a comment
-	lastID   string // ID of the last event
-	ids      int    // number of events with an ID
-	end      int    // offset behind the last event or comment; what follows it is neither
-}
-
-// scanBlock returns the properties of the events in whole.
-func scanBlock(whole []byte) (b block) {
-	offset, event := 0, false
-	for line := range bytes.Lines(whole) {
-		offset += len(line)
-		line = bytes.TrimSpace(line)
-		if len(line) == 0 {
-			if event {
-				b.end = offset
-			}
-			event = false
-			continue
-		}
-		name, v, _ := bytes.Cut(line, []byte(":"))
-		switch string(name) {
-		case "id":
-			b.lastID = string(bytes.TrimSpace(v))
-			b.ids++
-			b.fields, event = true, true
-		case "data", "event", "retry":
-			b.fields, event = true, true
-		case "":
-			b.comments, event = true, true
+// blockLength returns the length of the block at the start of data, or zero if it is not complete.
+func blockLength(data []byte) int {
+	for n := 0; n < len(data); {
+		i := bytes.IndexByte(data[n:], '\n')
+		if i < 0 {
+			return 0
 		}
-	}
-	return b
-}
-
-// withoutText returns the events and comments in whole, without the text between them that is neither.
-func withoutText(whole []byte) []byte {
-	var out []byte
-	for len(whole) > 0 {
-		n := firstLength(whole)
-		if scanBlock(whole[:n]).end > 0 {
-			out = append(out, whole[:n]...)
-		}
-		whole = whole[n:]
-	}
-	return out
-}
-
-// firstLength returns the length of the first event of data, which holds complete events.
-func firstLength(data []byte) int {
-	n := len(data)
-	for _, end := range [][]byte{eventEndLF, eventEndCRLF} {
-		if i := bytes.Index(data, end); i >= 0 {
-			n = min(n, i+len(end))
+		line := data[n : n+i]
+		n += i + 1
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			return n
 		}
 	}
-	return n
+	return 0
 }
--- a/internal/services/forward/events_test.go
+++ b/internal/services/forward/events_test.go
@@ -18,12 +18,12 @@
 	}{
 		"alone in the rest":             {[]sendResult{begin, {status: 200, stream: true, body: text}}, sampleEvents(1, 2), false},
 		"at the end of the rest":        {[]sendResult{begin, {status: 200, stream: true, body: sampleEvents(3, 3) + text}}, sampleEvents(1, 3), false},
-		"before the rest":               {[]sendResult{begin, {status: 200, stream: true, body: text + sampleEvents(3, 4)}}, sampleEvents(1, 4), true},
-		"between events of the rest":    {[]sendResult{begin, {status: 200, stream: true, body: sampleEvents(3, 3) + text + sampleEvents(4, 4)}}, sampleEvents(1, 4), true},
+		"before the rest":               {[]sendResult{begin, {status: 200, stream: true, body: text + sampleEvents(3, 4)}}, sampleEvents(1, 2), false},
+		"between events of the rest":    {[]sendResult{begin, {status: 200, stream: true, body: sampleEvents(3, 3) + text + sampleEvents(4, 4)}}, sampleEvents(1, 3), false},
 		"blank lines after the rest":    {[]sendResult{begin, {status: 200, stream: true, body: sampleEvents(3, 4) + "\n\n\n"}}, sampleEvents(1, 4), true},
 		"a comment in the rest":         {[]sendResult{begin, {status: 200, stream: true, body: ": x\n\n" + sampleEvents(3, 4)}}, sampleEvents(1, 2) + ": x\n\n" + sampleEvents(3, 4), true},
 		"after events without a length": {[]sendResult{{status: 200, stream: true, unframed: true, body: sampleEvents(1, 2) + text}, {status: 200, stream: true, body: sampleEvents(3, 4)}}, sampleEvents(1, 4), true},
-		"after events with a length":    {[]sendResult{{status: 200, stream: true, body: sampleEvents(1, 2) + text}}, sampleEvents(1, 2) + text, true},
+		"after events with a length":    {[]sendResult{{status: 200, stream: true, body: sampleEvents(1, 2) + text}, {status: 200, stream: true, body: sampleEvents(3, 4)}}, sampleEvents(1, 4), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t, c.steps...)
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -549,28 +549,61 @@
 	})
 }
 
-// Blocks that are no event are passed on unchanged between events and at the end of a stream, but not before a failure.
+// Blocks that are no event are no part of an answer on a route for streams: what an engine writes beside its events is not passed on.
 func TestBlocksWithoutFields(t *testing.T) {
 	noise := "noise\n\n"
 	for name, c := range map[string]struct {
 		body      string
-		truncated bool
+		truncated bool // by the connection
 		want      string
+		whole     bool
 	}{
-		"before an event":    {noise + sampleEvents(1, 2), false, noise + sampleEvents(1, 2)},
-		"between events":     {sampleEvents(1, 1) + noise + sampleEvents(2, 2), false, sampleEvents(1, 1) + noise + sampleEvents(2, 2)},
-		"at the end":         {sampleEvents(1, 1) + noise, false, sampleEvents(1, 1) + noise},
-		"nothing else":       {noise, false, noise},
-		"before a failure":   {noise, true, ""},
-		"comments go ahead":  {":\n\n", true, ":\n\n"},
-		"event, then failed": {sampleEvents(1, 1), true, sampleEvents(1, 1)},
+		"before an event":    {noise + sampleEvents(1, 2), false, "", false},
+		"between events":     {sampleEvents(1, 1) + noise + sampleEvents(2, 2), false, sampleEvents(1, 1), false},
+		"at the end":         {sampleEvents(1, 1) + noise, false, sampleEvents(1, 1), false},
+		"nothing else":       {noise, false, "", false},
+		"before a failure":   {noise, true, "", false},
+		"comments go ahead":  {":\n\n", true, ":\n\n", false},
+		"event, then failed": {sampleEvents(1, 1), true, sampleEvents(1, 1), false},
+		"comments and lines": {":\n\n\n" + sampleEvents(1, 2) + "\n", false, ":\n\n\n" + sampleEvents(1, 2) + "\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFixture(t, sendResult{status: 200, stream: true, body: c.body, truncated: c.truncated})
 			out := &fakeSink{}
 			err := s.Serve(context.Background(), newCall("/stream/"), out)
-			require.Equal(t, c.truncated, err != nil)
+			require.Equal(t, c.whole, err == nil)
 			require.Equal(t, c.want, out.body.String())
 		})
 	}
 }
+
+// Event streams on other routes are a service's own body: blocks that are no event are passed on unchanged, but not before a failure.
+func TestBlocksOfOtherEventStreams(t *testing.T) {
+	noise := "noise\n\n"
+	for name, c := range map[string]struct {
+		body      string
+		truncated bool
+		want      string
+	}{
+		"before an event":      {noise + sampleEvents(1, 2), false, noise + sampleEvents(1, 2)},
+		"between events":       {sampleEvents(1, 1) + noise + sampleEvents(2, 2), false, sampleEvents(1, 1) + noise + sampleEvents(2, 2)},
+		"at the end":           {sampleEvents(1, 1) + noise, false, sampleEvents(1, 1) + noise},
+		"nothing else":         {noise, false, noise},
+		"events without an ID": {"data: x\n\nevent: y\ndata: z\n\n", false, "data: x\n\nevent: y\ndata: z\n\n"},
+		"no event":             {"", false, ""},
+		"before a failure":     {noise, true, ""},
+		"comments go ahead":    {":\n\n", true, ":\n\n"},
+		"event, then failed":   {sampleEvents(1, 1), true, sampleEvents(1, 1)},
+	} {
+		for _, path := range []string{"/unsafe/"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				step := sendResult{status: 200, stream: true, body: c.body, truncated: c.truncated}
+				s := newFixture(t, step, step)
+				out := &fakeSink{}
+				err := s.Serve(context.Background(), newCall(path), out)
+				require.Equal(t, c.truncated, err != nil)
+				require.Equal(t, c.want, out.body.String())
+			})
+		}
+	}
+}
--- a/internal/services/forward/signals_test.go
+++ b/internal/services/forward/signals_test.go
@@ -14,11 +14,20 @@
 	"wagtaillift/internal/services/call"
 )
 
+// successOn returns the answer of a sound upstream to a call on path.
+func successOn(path string) sendResult {
+	r := okResult("x")
+	if path == "/stream/" || path == "/resumable/" {
+		r.body, r.stream = sampleEvents(1, 1), true
+	}
+	return r
+}
+
 // serveMany serves n calls and returns how often each upstream was sent one.
 func (s *fixture) serveMany(t *testing.T, path string, n int) map[id.Upstream]int {
 	before := len(s.up.targets)
 	for i := range n {
-		s.up.steps = append(s.up.steps, okResult("x"))
+		s.up.steps = append(s.up.steps, successOn(path))
 		c := newCall(path)
 		c.ID = id.Request(fmt.Sprint("many", i))
 		require.NoError(t, s.Serve(context.Background(), c, &fakeSink{}))
@@ -34,7 +43,7 @@
 func TestLeavingInAnswer(t *testing.T) {
 	for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
 		t.Run(path, func(t *testing.T) {
-			last := okResult("x")
+			last := successOn(path)
 			last.Leaving = true
 			s := newFixture(t, last)
 			require.NoError(t, s.Serve(context.Background(), newCall(path), &fakeSink{}))
