An answer that has begun is not joined with a second run

Callers saw (by test): a safe call whose answer is an event stream breaks off after its first event, and the second run's events follow from the first one on, in the same answer, which ends as complete.

Cause: after a break any repeatable call was sent again, also with a part of its answer passed on. Only streams that name their last event can go on; a safe call that runs again begins again. Large plain answers were run again too, in vain, as their second answer was refused.

Test that failed before: TestBlocksOfOtherEventStreams, two cases on /safe/ ("id: 1" twice in one answer).

--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -118,6 +118,9 @@
 		p.notRunCount++
 		return p.notRunCount <= maxNotRunRetries && f.spendRetry(c)
 	}
+	if p.answerBegun && c.route.Kind != route.Stream {
+		return false // a second run would be a second answer
+	}
 	if !c.repeatable() || p.possibleRuns >= c.route.MaxAttempts || time.Until(c.deadline) < minRetryTime {
 		return false
 	}
--- a/internal/services/forward/forward_test.go
+++ b/internal/services/forward/forward_test.go
@@ -595,7 +595,7 @@
 		"comments go ahead":    {":\n\n", true, ":\n\n"},
 		"event, then failed":   {sampleEvents(1, 1), true, sampleEvents(1, 1)},
 	} {
-		for _, path := range []string{"/unsafe/"} {
+		for _, path := range []string{"/unsafe/", "/safe/"} {
 			t.Run(name+" "+path, func(t *testing.T) {
 				step := sendResult{status: 200, stream: true, body: c.body, truncated: c.truncated}
 				s := newFixture(t, step, step)
