--- a/internal/services/forward/answer.go
+++ b/internal/services/forward/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,9 +13,6 @@
 	"wagtaillift/internal/models/route"
 )
 
-// unsoundStreams counts the streams of upstreams that held a block that is not sound.
-var unsoundStreams = metrics.NewCounter("wagtaillift_unsound_streams_total")
-
 const (
 	maxBufferedBytes = 64 << 10 // answers up to this size are buffered before their first byte goes to the caller
 	copyBufferBytes  = 16 << 10
@@ -85,27 +83,26 @@
 	}
 }
 
-// forwardStream passes on the sound blocks of a stream until its end. A block that is not sound is a failure of the upstream.
+// forwardStream passes on the valid blocks of a stream until its end. An invalid block is a failure of the upstream.
 func (f *Forwarder) forwardStream(c *Call, sel *selection, p *progress, a *Answer, out Sink, silence *silenceTimer, start time.Time) error {
-	ev := events{r: a.Body, check: f.eventCheck(c)}
 	first, joined := true, p.answerBegun
+	ev := events{r: a.Body, check: f.eventCheck(c, joined)}
 	for {
 		b, err := ev.next()
 		if errors.Is(err, io.EOF) {
-			if err := c.checkEnd(a, b.data, joined, first); err != nil {
-				a.Release(false)
+			err = c.checkEnd(a, b.data, joined, first)
+			a.Release(err == nil)
+			f.countUsage(c)
+			if err != nil || joined {
 				return err
 			}
-			a.Release(true)
-			if joined {
-				return nil
-			}
 			return f.endStream(c, sel, p, a, out, b.data)
 		}
 		if err != nil {
 			a.Release(false)
-			if ev.unsound != nil {
-				logUnsound(c, sel, a, joined, err)
+			if ev.invalid != nil {
+				f.countUsage(c)
+				logInvalid(c, sel, a, joined, &ev)
 			}
 			return err
 		}
@@ -135,11 +132,11 @@
 
 // eventCheck returns the check of the answer to the next attempt of c. The bodies of other routes than those for streams are the service's
 // own, even if they are event streams.
-func (f *Forwarder) eventCheck(c *Call) eventCheck {
+func (f *Forwarder) eventCheck(c *Call, joined bool) eventCheck {
 	if c.route.Kind != route.Stream {
 		return eventCheck{}
 	}
-	return newEventCheck(f.EventFormat, c.resumesAfter())
+	return newEventCheck(f.EventFormat, c.resumesAfter(), joined)
 }
 
 // resumesAfter returns the ID of the last event that the caller has of the stream, or an empty string if it begins with the next answer.
@@ -156,7 +153,7 @@
 	switch {
 	case hasText(rest) && (joined || !a.Framed):
 		return errTextAtEnd
-	case c.route.Kind == route.Stream && empty && (c.resumesAfter() == "" || !a.Framed):
+	case c.wantsStream() && empty && (c.resumesAfter() == "" || !a.Framed):
 		return errNoEvent
 	}
 	return nil
@@ -175,10 +172,16 @@
 	return nil
 }
 
-// logUnsound logs and counts a block of a stream that is not sound.
-func logUnsound(c *Call, sel *selection, a *Answer, joined bool, err error) {
-	unsoundStreams.Inc()
-	klog.InfoS("Stream of an upstream is not sound", "request", c.ID, "upstream", sel.u.Name, "address", sel.u.Address, "connection", a.Connection, "framed", a.Framed, "joined", joined, "last", c.resumesAfter(), "err", err)
+// wantsStream reports whether a success must be an event stream.
+func (c *Call) wantsStream() bool {
+	return c.route.Kind == route.Stream && (c.Method == http.MethodPost || c.Method == http.MethodGet)
+}
+
+// logInvalid logs and counts a stream with an invalid block. What the block holds may be a customer's.
+func logInvalid(c *Call, sel *selection, a *Answer, joined bool, ev *events) {
+	metrics.GetOrCreateCounter(`wagtaillift_invalid_streams_total{reason="` + ev.invalid.Error() + `"}`).Inc()
+	klog.InfoS("Stream of an upstream is invalid", "request", c.ID, "upstream", sel.u.Name, "address", sel.u.Address, "connection", a.Connection, "framed", a.Framed, "joined", joined, "last", c.resumesAfter(), "err", ev.invalid)
+	klog.V(1).InfoS("Invalid block", "request", c.ID, "begin", string(ev.excerpt()))
 }
 
 func (f *Forwarder) beginAnswer(c *Call, sel *selection, p *progress, a *Answer, out Sink) error {
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -234,8 +234,9 @@
 	case p.answerBegun:
 		a.Release(false)
 		err = errors.Errorf("status %d in place of the rest of a stream", a.Status)
-	case c.route.Kind == route.Stream && a.Status/100 == 2:
+	case a.Status/100 == 2 && c.wantsStream():
 		a.Release(false)
+		f.countUsage(c)
 		err = errors.Errorf("status %d without a stream", a.Status)
 	default:
 		err = f.forwardPlain(c, sel, p, a, out)
--- a/internal/services/forward/check.go
+++ b/internal/services/forward/check.go
@@ -11,17 +11,18 @@
 
 // EventFormat describes the events of a stream whose events are numbered. The zero value allows the fields of the standard only.
 type EventFormat struct {
-	FirstID uint64   // of each run; the IDs of further events count up by one. Zero if a run may begin with any ID
-	Fields  []string // names of fields beside those of the standard
+	FirstID uint64 // of each run; the IDs of further events count up by one. Zero if a run may begin with any ID
+	// Fields are the names of fields beside those of the standard. They hold a number and stand on the first line of an event.
+	Fields []string
 }
 
-// Reasons why a block of a stream is not sound.
+// Reasons why a block of a stream is invalid.
 const (
 	errForeignLine   = errors.ConstError("a line that is no field of an event")
 	errForeignBytes  = errors.ConstError("bytes that are no text")
 	errMixedLineEnds = errors.ConstError("lines of one event end in two ways")
 	errMissingID     = errors.ConstError("an event without an ID")
-	errSecondID      = errors.ConstError("a second ID in one event")
+	errRepeatedField = errors.ConstError("a field comes twice in one event")
 	errMalformedID   = errors.ConstError("an ID that is no number")
 	errWrongID       = errors.ConstError("an ID that does not follow the one before")
 	errMissingData   = errors.ConstError("an event without data")
@@ -36,9 +37,10 @@
 	begun    bool   // a block was checked
 }
 
-// newEventCheck returns the check of a numbered stream that goes on after the event with ID last, which is empty for a new run.
-func newEventCheck(f EventFormat, last string) eventCheck {
-	c := eventCheck{format: f, numbered: true}
+// newEventCheck returns the check of a numbered stream that goes on after the event with ID last, which is empty for a new run. Joined tells
+// that a part of the answer was passed on before.
+func newEventCheck(f EventFormat, last string, joined bool) eventCheck {
+	c := eventCheck{format: f, numbered: true, begun: joined}
 	if last == "" {
 		c.next = f.FirstID
 	} else if n, err := parseEventID([]byte(last)); err == nil { // a caller may name any ID
@@ -51,12 +53,16 @@
 const maxIDDigits = 19
 
 func parseEventID(v []byte) (uint64, error) {
-	if len(v) == 0 || len(v) > maxIDDigits || bytes.ContainsFunc(v, func(r rune) bool { return r < '0' || r > '9' }) {
+	if !isNumber(v) {
 		return 0, errMalformedID
 	}
 	return strconv.ParseUint(string(v), 10, 64)
 }
 
+func isNumber(v []byte) bool {
+	return len(v) > 0 && len(v) <= maxIDDigits && !bytes.ContainsFunc(v, func(r rune) bool { return r < '0' || r > '9' })
+}
+
 var byteOrderMark = []byte("\ufeff")
 
 // fields are the lines of a block.
@@ -64,17 +70,29 @@
 	count    int // lines that are fields of an event
 	comments int
 	data     int
-	hasID    bool
+	seen     fieldSet // fields that may come once
 	id       []byte
 	lineEnds int // set of lineFeed and carriageReturn
 }
 
+// fieldSet is a set of fields of an event.
+type fieldSet int
+
+const (
+	fieldID fieldSet = 1 << iota
+	fieldEvent
+	fieldRetry
+	fieldOther // of EventFormat.Fields
+)
+
 const (
 	lineFeed       = 1 // a line ends with a line feed alone
 	carriageReturn = 2 // a line ends with a carriage return and a line feed
 )
 
-// check returns the fields of block, and an error if it is not sound. It must not be called again after an error.
+func (f *fields) hasID() bool { return f.seen&fieldID != 0 }
+
+// check returns the fields of block, and an error if it is invalid. It must not be called again after an error.
 func (c *eventCheck) check(block []byte) (fields, error) {
 	if !c.begun {
 		block, c.begun = bytes.TrimPrefix(block, byteOrderMark), true
@@ -91,7 +109,7 @@
 		return f, nil
 	case f.lineEnds == lineFeed|carriageReturn:
 		return f, errMixedLineEnds
-	case !f.hasID:
+	case !f.hasID():
 		return f, errMissingID
 	case f.data == 0:
 		return f, errMissingData
@@ -111,7 +129,7 @@
 	return nil
 }
 
-// parse returns the fields of block, and an error if it has a line that does not belong there.
+// parse returns the fields of block, and the last error of its lines.
 func (c *eventCheck) parse(block []byte) (f fields, err error) {
 	for line := range bytes.Lines(block) {
 		line = bytes.TrimSuffix(line, []byte("\n"))
@@ -121,29 +139,46 @@
 		} else {
 			f.lineEnds |= lineFeed
 		}
+		if bytes.IndexByte(line, '\r') >= 0 {
+			err = errForeignLine // alone it ends a line too, by the standard
+		}
 		if len(line) == 0 {
 			continue
 		}
-		name, v, _ := bytes.Cut(line, []byte(":"))
-		switch string(name) {
-		case "":
-			f.comments++
-			continue
-		case "id":
-			if f.hasID {
-				err = errSecondID
-			}
-			f.hasID, f.id = true, bytes.TrimPrefix(v, []byte(" "))
-		case "data":
-			f.data++
-		case "event", "retry":
-		default:
-			if !slices.Contains(c.format.Fields, string(name)) {
-				err = errForeignLine
-				continue
-			}
+		if e := c.parseLine(&f, line); e != nil {
+			err = e
 		}
-		f.count++
 	}
 	return f, err
 }
+
+// parseLine adds a line to f.
+func (c *eventCheck) parseLine(f *fields, line []byte) error {
+	name, v, _ := bytes.Cut(line, []byte(":"))
+	v = bytes.TrimPrefix(v, []byte(" "))
+	field := fieldSet(0)
+	switch string(name) {
+	case "":
+		f.comments++
+		return nil
+	case "data":
+		f.data++
+	case "id":
+		field, f.id = fieldID, v
+	case "event":
+		field = fieldEvent
+	case "retry":
+		field = fieldRetry
+	default:
+		if f.count > 0 || !slices.Contains(c.format.Fields, string(name)) || !isNumber(v) {
+			return errForeignLine
+		}
+		field = fieldOther
+	}
+	f.count++
+	if f.seen&field != 0 {
+		return errRepeatedField
+	}
+	f.seen |= field
+	return nil
+}
--- a/internal/services/forward/check_test.go
+++ b/internal/services/forward/check_test.go
@@ -32,7 +32,7 @@
 
 // readAll returns what is passed on of a stream that arrives in parts and goes on after the event with ID last.
 func readAll(last string, parts ...[]byte) (passed string, lastID string, err error) {
-	ev := events{r: &splitReader{parts: parts}, check: newEventCheck(sampleFormat, last)}
+	ev := events{r: &splitReader{parts: parts}, check: newEventCheck(sampleFormat, last, false)}
 	for {
 		b, err := ev.next()
 		passed += string(b.data)
@@ -50,8 +50,8 @@
 
 var (
 	blockEnd  = regexp.MustCompile(`(^|\n)\r?\n`)
-	soundLine = regexp.MustCompile(`^(:.*|(id|data|event|retry|x-note)(:.*)?)$`)
-	idLine    = regexp.MustCompile(`^id:? ?(.*)$`)
+	soundLine = regexp.MustCompile(`(?s)^(:.*|(id|data|event|retry)(:.*)?|x-note: ?[0-9]{1,19})$`)
+	idLine    = regexp.MustCompile(`(?s)^id:? ?(.*)$`)
 	digits    = regexp.MustCompile(`^[0-9]{1,19}$`)
 )
 
@@ -79,20 +79,29 @@
 		}
 		lines := strings.Split(strings.TrimSuffix(checked, "\n"), "\n")
 		var ids []string
+		once := map[string]bool{}
 		fields, data, crlf := 0, 0, 0
 		for _, l := range lines {
 			if strings.HasSuffix(l, "\r") {
 				crlf++
 			}
 			l = strings.TrimSuffix(l, "\r")
+			if strings.Contains(l, "\r") {
+				return passed, false
+			}
 			if l == "" || l[0] == ':' {
 				continue
 			}
 			if !soundLine.MatchString(l) {
 				return passed, false
 			}
+			name, _, _ := strings.Cut(l, ":")
+			if once[name] && name != "data" || name == "x-note" && fields > 0 {
+				return passed, false
+			}
+			once[name] = true
 			fields++
-			if name, _, _ := strings.Cut(l, ":"); name == "id" {
+			if name == "id" {
 				ids = append(ids, idLine.FindStringSubmatch(l)[1])
 			} else if name == "data" {
 				data++
@@ -124,6 +133,7 @@
 	strings.ReplaceAll(sampleEvents(1, 2), "\n", "\r\n"), sampleEvents(1, 1) + strings.ReplaceAll(sampleEvents(2, 2), "\n", "\r\n"), "id: 1\r\ndata: x\n\n", "id: 1\ndata: x\n\r\n",
 	": x\n\n" + sampleEvents(1, 2) + ":\n\n\n", "x-note: 1\nid: 1\ndata: x\n\n", "y-note: 1\nid: 1\ndata: x\n\n", "id: 1\ndata\ndata: y\n\n", "id:1\ndata:\n\n", "id:  1\ndata: x\n\n", "id: 01\ndata: x\n\n",
 	"id: 1\nid: 2\ndata: x\n\n", "id: -1\ndata: x\n\n", "id: 18446744073709551615\ndata: x\n\n", "id: 9999999999999999999\ndata: x\n\nid: 1\ndata: y\n\n", "id\ndata: x\n\n", "id: 1\n\n", "data: x\n\n", "event: x\n\n",
+	"id: 1\ndata: x\r\rdata: y\n\n", ": x\rdata: y\r\r\n\n", "id: 1\ndata: x\x0b\n\n", "event: x\nid: 1\ndata: x\nevent: y\n\n", "id: 1\nx-note: 1\ndata: x\n\n", "x-note: y\nid: 1\ndata: x\n\n", "retry: 1\nretry: 2\nid: 1\ndata\n\n",
 	sampleEvents(1, 2) + "HTTP/1.1 500 X\r\nY: z\r\n\r\n" + sampleEvents(3, 3), sampleEvents(1, 2) + "id: 3\ndata: cHTTP/1.1 500 X\r\n\r\n", sampleEvents(1, 2) + "\xff\n\n", "id: 1\ndata: \xff\n\n",
 }
 
@@ -176,3 +186,12 @@
 		requireSameAnyhow(t, last, string(body), []int{0, int(split) % (len(body) + 1)})
 	})
 }
+
+// A byte order mark begins a stream and no part of it that goes on.
+func TestByteOrderMarkInTheRestOfAStream(t *testing.T) {
+	for joined := range 2 {
+		c := newEventCheck(sampleFormat, "1", joined == 1)
+		_, err := c.check([]byte("\ufeff" + sampleEvents(2, 2)))
+		require.Equal(t, joined == 1, err != nil)
+	}
+}
--- a/internal/services/forward/events.go
+++ b/internal/services/forward/events.go
@@ -18,6 +18,12 @@
 // errTextAtEnd means that a stream ended with text that is no event.
 const errTextAtEnd = errors.ConstError("the stream ended with text that is no event")
 
+// Reasons why a stream is too long.
+const (
+	errLongEvent = errors.ConstError("an event of more than 64 KB")
+	errNoise     = errors.ConstError("more than 64 KB without an event")
+)
+
 // errNoEvent means that a stream ended without an event although it began a run.
 const errNoEvent = errors.ConstError("the stream ended without an event")
 
@@ -32,7 +38,7 @@
 	start   int   // offset of the first byte not returned yet
 	checked int   // offset behind the last block that was checked
 	noise   int   // bytes of blocks without a field since the last event
-	unsound error // what is wrong with the block at checked
+	invalid error // why the block at checked is not returned
 }
 
 const minReadBytes = 4 << 10 // minimum free space of the buffer before a read
@@ -46,15 +52,15 @@
 }
 
 // next returns the sound blocks that have arrived, with at least one event or comment among them. At the end of the stream it returns io.EOF
-// and the blocks without one that are left. The result is valid until the next call. A block that is not sound, and more than
+// and the blocks without one that are left. The result is valid until the next call. A block that is invalid, and more than
 // maxNoiseBytes without an event, are an error once the blocks before have been returned.
 func (e *events) next() (batch, error) {
 	for {
 		if b := e.take(); len(b.data) > 0 {
 			return b, nil
 		}
-		if e.unsound != nil {
-			return batch{}, e.unsound
+		if e.invalid != nil {
+			return batch{}, e.invalid
 		}
 		err := e.fill()
 		switch {
@@ -70,7 +76,7 @@
 // take checks the complete blocks that have arrived and returns those up to the last event or comment.
 func (e *events) take() (b batch) {
 	end := e.start
-	for e.unsound == nil {
+	for e.invalid == nil {
 		n := blockLength(e.data[e.checked:])
 		if n == 0 {
 			break
@@ -78,10 +84,10 @@
 		block := e.data[e.checked : e.checked+n]
 		f, err := e.check.check(block)
 		if err == nil {
-			err = e.countNoise(n, f)
+			err = e.checkSize(n, f)
 		}
 		if err != nil {
-			e.unsound = errors.Annotatef(err, "in %q", block[:min(n, maxLoggedBlock)])
+			e.invalid = err
 			break
 		}
 		e.checked += n
@@ -95,23 +101,33 @@
 	return b
 }
 
-const maxLoggedBlock = 96 // bytes
+const maxLoggedBytes = 96 // of an invalid block
+
+// excerpt returns the first bytes of the block that is not returned.
+func (e *events) excerpt() []byte {
+	block := e.data[e.checked:]
+	return block[:min(len(block), maxLoggedBytes)]
+}
 
 func (b *batch) add(f fields) {
 	b.fields = b.fields || f.count > 0
-	if f.hasID {
+	if f.hasID() {
 		b.events++
 		b.lastID = string(f.id)
 	}
 }
 
-func (e *events) countNoise(n int, f fields) error {
+// checkSize returns an error if a block of n bytes is too long, or too many came without an event.
+func (e *events) checkSize(n int, f fields) error {
+	if f.count > 0 && n > maxEventBytes {
+		return errLongEvent
+	}
 	if f.count > 0 {
 		e.noise = 0
 		return nil
 	}
 	if e.noise += n; e.noise > maxNoiseBytes {
-		return errors.Errorf("more than %d bytes that are no event", maxNoiseBytes)
+		return errNoise
 	}
 	return nil
 }
@@ -123,7 +139,8 @@
 		e.start = 0
 	}
 	if len(e.data) > maxEventBytes {
-		return errors.Errorf("an event of more than %d bytes", maxEventBytes)
+		e.invalid = errLongEvent
+		return e.invalid
 	}
 	have := len(e.data)
 	if cap(e.data)-have < minReadBytes {
