What a log's Open returns is on disk, also after a failed sync

A control VM acted on records that might be lost with the next loss of power: after a save whose sync failed (a full disk), or whose process ended between write and sync, Open returned the record from the page cache, the core took it as synced and the VM acknowledged it or counted itself among the disks that hold it. A second sync is no remedy, since Linux marks the pages of a failed sync as clean. The names of the log folder and of the disk's identity beside it were not synced by Open either: a folder lost with its identity kept means a voter with an empty log under its old name.

Open now writes the last record once more to its place and syncs it (each Save syncs its record and the first failure ends the replica, so only the last can be unsynced), and syncs the folder that holds the log. Written in place, the record can't be cut by a full disk.

Files is the thin layer that lets tests fill the disk.

--- a/internal/modules/wal/wal.go
+++ b/internal/modules/wal/wal.go
@@ -1,7 +1,7 @@
 // Package wal stores the replicated log of one VM on disk, as a snapshot file and a log file of checksummed records.
 //
-// Each Save writes one record. A crash leaves at most one incomplete record at the end of the file, which Open removes.
-// Open fails with ErrCorrupt if a corrupt record is followed by valid ones.
+// Each Save writes one record. A crash or a full disk leaves at most one incomplete record at the end of the file, which Open
+// removes. Open fails with ErrCorrupt if a corrupt record is followed by valid ones. What Open returns is synced.
 package wal
 
 import (
@@ -44,30 +44,43 @@
 
 // Log is an open log. It is not safe for concurrent use.
 type Log struct {
+	files      Files
 	folder     string
-	file       *os.File
+	file       File
 	generation uint64           // number in the names of the current log and snapshot files
 	hardState  quorum.HardState // latest saved hard state
 	size       int64            // bytes of the log file
 }
 
 // Open reads the log in folder and removes an incomplete last record. It creates folder if it does not exist.
-func Open(folder string) (*Log, quorum.State, error) {
+func Open(folder string) (*Log, quorum.State, error) { return OpenOn(OS, folder) }
+
+// OpenOn is like Open with another file system.
+func OpenOn(files Files, folder string) (*Log, quorum.State, error) {
 	var s quorum.State
 	if err := os.MkdirAll(folder, folderPerm); err != nil {
 		return nil, s, errors.Annotate(err, "create data folder")
 	}
-	l := &Log{folder: folder}
+	if err := files.SyncFolder(filepath.Dir(folder)); err != nil {
+		return nil, s, err
+	}
+	l := &Log{files: files, folder: folder}
 	if err := l.loadSnapshot(&s); err != nil {
 		return nil, s, err
 	}
 	if err := l.loadRecords(&s); err != nil {
+		if l.file != nil {
+			l.file.Close()
+		}
 		return nil, s, err
 	}
 	l.hardState = s.HardState
 	return l, s, nil
 }
 
+// path returns the path of the current log file.
+func (l *Log) path() string { return filepath.Join(l.folder, logName(l.generation)) }
+
 // Size returns the size of the log file in bytes.
 func (l *Log) Size() int64 { return l.size }
 
@@ -88,10 +101,10 @@
 	}
 	n, err := l.file.Write(data)
 	l.size += int64(n)
-	if err != nil {
-		return errors.Annotatef(err, "write %s", l.file.Name())
+	if err == nil {
+		err = l.file.Sync()
 	}
-	return errors.Annotatef(l.file.Sync(), "sync %s", l.file.Name())
+	return errors.Annotatef(err, "write %s", l.path())
 }
 
 // SaveSnapshot writes s and a new log file that contains only rest, the entries after s, and removes the older files.
@@ -101,14 +114,14 @@
 		return errors.Annotate(err, "encode snapshot")
 	}
 	generation := l.generation + 1
-	if err := l.writeFile(snapshotName(generation), encodeFrame(body)); err != nil {
+	if err := WriteFileOn(l.files, filepath.Join(l.folder, snapshotName(generation)), encodeFrame(body), filePerm); err != nil {
 		return err
 	}
 	first, err := encodeRecord(record{HardState: &l.hardState, Entries: rest})
 	if err != nil {
 		return err
 	}
-	if err := l.writeFile(logName(generation), first); err != nil {
+	if err := WriteFileOn(l.files, filepath.Join(l.folder, logName(generation)), first, filePerm); err != nil {
 		return err
 	}
 	if err := l.switchTo(generation, int64(len(first))); err != nil {
@@ -119,7 +132,7 @@
 
 // switchTo opens the log file of generation, which has size bytes, for appending and closes the previous one.
 func (l *Log) switchTo(generation uint64, size int64) error {
-	f, err := os.OpenFile(filepath.Join(l.folder, logName(generation)), os.O_WRONLY|os.O_APPEND|os.O_CREATE, filePerm)
+	f, err := l.files.OpenFile(filepath.Join(l.folder, logName(generation)), os.O_WRONLY|os.O_APPEND|os.O_CREATE, filePerm)
 	if err != nil {
 		return errors.Annotate(err, "open log")
 	}
@@ -127,22 +140,18 @@
 		l.file.Close()
 	}
 	l.file, l.generation, l.size = f, generation, size
-	return syncFolder(l.folder)
-}
-
-// writeFile writes a file in the data folder such that it is either absent or complete after a crash.
-func (l *Log) writeFile(name string, data []byte) error {
-	path := filepath.Join(l.folder, name)
-	if err := WriteFile(path, data, filePerm); err != nil {
-		return err
-	}
-	return nil
+	return l.files.SyncFolder(l.folder)
 }
 
 // WriteFile atomically replaces the contents of path with data and syncs the file and its folder.
 func WriteFile(path string, data []byte, perm os.FileMode) error {
+	return WriteFileOn(OS, path, data, perm)
+}
+
+// WriteFileOn is like WriteFile with another file system.
+func WriteFileOn(files Files, path string, data []byte, perm os.FileMode) error {
 	tmp := path + ".tmp"
-	f, err := os.OpenFile(tmp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, perm)
+	f, err := files.OpenFile(tmp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, perm)
 	if err != nil {
 		return errors.Annotate(err, "create file")
 	}
@@ -154,32 +163,23 @@
 		err = cerr
 	}
 	if err == nil {
-		err = os.Rename(tmp, path)
+		err = files.Rename(tmp, path)
 	}
 	if err != nil {
 		return errors.Annotatef(err, "write %s", path)
 	}
-	return syncFolder(filepath.Dir(path))
-}
-
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return errors.Annotate(err, "open folder")
-	}
-	defer d.Close()
-	return errors.Annotatef(d.Sync(), "sync folder %s", folder)
+	return files.SyncFolder(filepath.Dir(path))
 }
 
 // removeOlder removes the files of the generations before generation.
 func (l *Log) removeOlder(generation uint64) error {
 	for _, n := range l.generations(logPrefix) {
 		if n < generation {
-			os.Remove(filepath.Join(l.folder, logName(n)))
-			os.Remove(filepath.Join(l.folder, snapshotName(n)))
+			l.files.Remove(filepath.Join(l.folder, logName(n)))
+			l.files.Remove(filepath.Join(l.folder, snapshotName(n)))
 		}
 	}
-	return syncFolder(l.folder)
+	return l.files.SyncFolder(l.folder)
 }
 
 func logName(n uint64) string      { return fmt.Sprintf("%s%016d", logPrefix, n) }
@@ -228,12 +228,11 @@
 
 // loadRecords reads the log file of the current generation into s and opens it for appending.
 func (l *Log) loadRecords(s *quorum.State) error {
-	path := filepath.Join(l.folder, logName(l.generation))
-	data, err := os.ReadFile(path)
+	data, err := os.ReadFile(l.path())
 	if err != nil && !os.IsNotExist(err) {
 		return errors.Annotate(err, "read log")
 	}
-	offset := 0
+	offset, last := 0, 0 // last is the offset of the last record
 	for offset < len(data) {
 		body, size, ok := decodeFrame(data[offset:])
 		if !ok {
@@ -241,24 +240,48 @@
 		}
 		var r record
 		if err := cbor.Unmarshal(body, &r); err != nil {
-			return errors.Annotatef(err, "decode %s at offset %d", path, offset)
+			return errors.Annotatef(err, "decode %s at offset %d", l.path(), offset)
 		}
 		if err := applyRecord(s, r); err != nil {
-			return errors.Annotatef(err, "replay %s at offset %d", path, offset)
+			return errors.Annotatef(err, "replay %s at offset %d", l.path(), offset)
 		}
-		offset += size
+		offset, last = offset+size, offset
 	}
-	if offset < len(data) {
-		if err := truncateTail(path, data, offset); err != nil {
-			return err
-		}
+	if err := l.repair(data, last, offset); err != nil {
+		return err
 	}
 	return l.switchTo(l.generation, int64(offset))
 }
 
-// truncateTail removes an incomplete last record, which starts at offset. It returns ErrCorrupt if a valid record
-// follows.
-func truncateTail(path string, data []byte, offset int) error {
+// repair removes the incomplete record that may follow offset, and writes the last record before it once more, to the same place, and syncs
+// it: its sync may have failed, or its process may have ended before. After a failed sync the operating system takes data for written, so
+// that a sync alone does not store it.
+func (l *Log) repair(data []byte, last, offset int) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if err := checkTail(l.path(), data, offset); err != nil {
+		return err
+	}
+	f, err := l.files.OpenFile(l.path(), os.O_WRONLY, filePerm)
+	if err != nil {
+		return errors.Annotate(err, "open log")
+	}
+	err = f.Truncate(int64(offset))
+	if err == nil {
+		_, err = f.WriteAt(data[last:offset], int64(last))
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return errors.Annotatef(err, "repair %s at offset %d", l.path(), last)
+}
+
+// checkTail returns ErrCorrupt if a valid record follows the incomplete one at offset, which is then not the last.
+func checkTail(path string, data []byte, offset int) error {
 	for i := offset + 1; i < len(data); i++ {
 		next := bytes.Index(data[i:], recordMagic)
 		if next < 0 {
@@ -269,7 +292,7 @@
 			return errors.Annotatef(ErrCorrupt, "read %s: record at offset %d is corrupt, the one at %d is valid", path, offset, i)
 		}
 	}
-	return errors.Annotatef(os.Truncate(path, int64(offset)), "truncate %s at offset %d", path, offset)
+	return nil
 }
 
 // applyRecord applies r to s. The entries of r replace those of s at and after their first index.
--- a/internal/modules/wal/writable.go
+++ b/internal/modules/wal/writable.go
@@ -20,9 +20,12 @@
 
 // AwaitRoom waits until the disk that holds folder accepts a write, or ctx ends. A VM that starts while its disk is full would join
 // the fleet and end again at its first write. Any error but a lack of space is returned at once.
-func AwaitRoom(ctx context.Context, folder string) error {
+func AwaitRoom(ctx context.Context, folder string) error { return AwaitRoomOn(ctx, OS, folder) }
+
+// AwaitRoomOn is like AwaitRoom with another file system.
+func AwaitRoomOn(ctx context.Context, files Files, folder string) error {
 	for first := true; ; first = false {
-		err := probe(folder)
+		err := probe(files, folder)
 		if err == nil || !errors.Is(err, syscall.ENOSPC) {
 			return err
 		}
@@ -36,16 +39,16 @@
 }
 
 // probe writes and syncs a file in folder and removes it.
-func probe(folder string) error {
+func probe(files Files, folder string) error {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return errors.Annotate(err, "create data folder")
 	}
 	path := filepath.Join(folder, probeFile)
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
+	f, err := files.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, filePerm)
 	if err != nil {
 		return errors.Annotate(err, "create probe file")
 	}
-	_, err = f.WriteString("probe\n")
+	_, err = f.Write([]byte("probe\n"))
 	if err == nil {
 		err = f.Sync()
 	}
@@ -55,5 +58,5 @@
 	if err != nil {
 		return errors.Annotatef(err, "write %s", path)
 	}
-	return errors.Annotate(os.Remove(path), "remove probe file")
+	return errors.Annotate(files.Remove(path), "remove probe file")
 }
--- a/internal/services/authority/address.go
+++ b/internal/services/authority/address.go
@@ -50,7 +50,7 @@
 	}
 	raw, err := cbor.Marshal(merged)
 	if err == nil {
-		err = wal.WriteFile(filepath.Join(a.opt.Folder, addressFile), raw, filePerm)
+		err = wal.WriteFileOn(a.opt.Files, filepath.Join(a.opt.Folder, addressFile), raw, filePerm)
 	}
 	if err != nil {
 		klog.InfoS("Failed to save peer addresses", "vm", a.opt.VM, "err", err)
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -42,12 +42,13 @@
 	VM          id.VM
 	Zone        id.Zone
 	Incarnation id.Incarnation
-	Peer        string   // address for peer calls from other VMs
-	Operator    string   // address of the operator API
-	Folder      string   // data folder; empty on a VM that has no replica of the log
-	Seeds       []string // peer addresses used to find the fleet
-	Voters      int      // maximum number of voters
-	FirstStart  bool     // first start of the whole fleet: the seeds bootstrap its log
+	Peer        string    // address for peer calls from other VMs
+	Operator    string    // address of the operator API
+	Folder      string    // data folder; empty on a VM that has no replica of the log
+	Files       wal.Files // file system of Folder; nil means that of the operating system
+	Seeds       []string  // peer addresses used to find the fleet
+	Voters      int       // maximum number of voters
+	FirstStart  bool      // first start of the whole fleet: the seeds bootstrap its log
 	Tolerance   limit.Tolerance
 	Timing      Timing // zero fields default to those of DefaultTiming
 	Transport   *peer.Transport
@@ -99,6 +100,9 @@
 		onShares:      func([]Share) {}, onUsageCommitted: func([]usage.Reading) {},
 		timing: opt.Timing.withDefaults(),
 	}
+	if a.opt.Files == nil {
+		a.opt.Files = wal.OS
+	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.seeds.Store(opt.Seeds)
 	a.fleetTime.start(time.Now(), clock.SinceBoot())
@@ -115,11 +119,11 @@
 }
 
 func (a *Agent) openReplica() error {
-	disk, err := diskIdentity(a.opt.Folder)
+	disk, err := diskIdentity(a.opt.Files, a.opt.Folder)
 	if err != nil {
 		return err
 	}
-	log, stored, err := wal.Open(filepath.Join(a.opt.Folder, "log"))
+	log, stored, err := wal.OpenOn(a.opt.Files, filepath.Join(a.opt.Folder, "log"))
 	if err != nil {
 		return errors.Annotate(err, "open replicated log")
 	}
--- a/internal/services/authority/bootstrap.go
+++ b/internal/services/authority/bootstrap.go
@@ -40,7 +40,7 @@
 	case !a.opt.FirstStart:
 		return nil
 	}
-	return wal.WriteFile(path, []byte(a.node+"\n"), filePerm)
+	return wal.WriteFileOn(a.opt.Files, path, []byte(a.node+"\n"), filePerm)
 }
 
 func (a *Agent) nodeInfo() nodeInfo {
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -36,7 +36,7 @@
 
 // diskIdentity returns the identity of the disk that holds folder and creates it if missing. A replaced disk therefore
 // gets a new identity.
-func diskIdentity(folder string) (string, error) {
+func diskIdentity(files wal.Files, folder string) (string, error) {
 	path := filepath.Join(folder, identityFile)
 	raw, err := os.ReadFile(path)
 	if err == nil {
@@ -56,7 +56,7 @@
 		return "", errors.Annotate(err, "generate disk identity")
 	}
 	n := hex.EncodeToString(bits)
-	return n, wal.WriteFile(path, []byte(n+"\n"), filePerm)
+	return n, wal.WriteFileOn(files, path, []byte(n+"\n"), filePerm)
 }
 
 // nodeName returns the node name of a disk in the log: the VM's name and the identity of the disk.
@@ -71,7 +71,7 @@
 // Bootstrap initializes the log of a new fleet in folder. This VM is its only voter; commands are applied to the initial
 // state.
 func Bootstrap(folder string, vm id.VM, commands []state.Command) error {
-	disk, err := diskIdentity(folder)
+	disk, err := diskIdentity(wal.OS, folder)
 	if err != nil {
 		return err
 	}
