A disk error while a fleet is founded ends the replica, and a failed log takes no more

A control VM whose disk filled up while it founded the fleet went on: Bootstrap passed the error to the enrolment loop, which tries again, and the output of the core that could not be written was gone. What the VM sent from then on did not rest on its disk; a record behind an incomplete one makes the log corrupt at the next start; and a log file of the new generation that was renamed before the error (the folder's sync) replaces, at the next start, the older one that the VM had gone on writing.

The error now ends Run, as any other error of the disk does, so that the VM starts again once there is room. A Log refuses everything after its first failed write, so that no path can write behind an incomplete record.

Evidence: TestDiskErrorInBootstrapEndsReplica (Run went on to the test's end) and TestFailedSaveEndsLog (the second Save was accepted) failed before. Ruled out: other callers that pass a disk's error on and go on; persist and compact both end Run.

--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -84,6 +84,7 @@
 	stopped        chan struct{}
 	closeOnce      sync.Once
 	maxDelay       atomic.Int64 // see TakeMaxDelay
+	failure        error        // of the disk; ends Run
 }
 
 // pendingProposal is a proposal whose entry is not applied yet.
@@ -154,9 +155,12 @@
 		now := clock.SinceBoot()
 		r.noteDelay(now - r.core.NextTick())
 		r.core.Tick(now)
-		if err := r.processOutput(); err != nil {
-			klog.ErrorS(err, "Replica stopped after a disk error", "node", r.core.Self())
-			return err
+		if r.failure == nil {
+			r.failure = r.processOutput()
+		}
+		if r.failure != nil {
+			klog.ErrorS(r.failure, "Replica stopped after a disk error", "node", r.core.Self())
+			return r.failure
 		}
 		r.publishStatus(clock.SinceBoot())
 		timer.Reset(max(r.core.NextTick()-clock.SinceBoot(), minTickInterval))
@@ -383,7 +387,8 @@
 		if r.core.LastIndex() > 0 {
 			return nil
 		}
-		return r.restartFrom(now, s)
+		r.failure = r.restartFrom(now, s)
+		return r.failure
 	})
 }
 
--- a/internal/modules/replica/replica_test.go
+++ b/internal/modules/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,3 +63,24 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// fullStore is a disk without room for a snapshot, while records still fit.
+type fullStore struct{ nullStore }
+
+func (fullStore) SaveSnapshot(quorum.Snapshot, []quorum.Entry) error { return syscall.ENOSPC }
+
+// A replica whose disk fills up during the first start of a fleet must end, as it does later: its disk may hold a part of what was written.
+func TestDiskErrorInBootstrapEndsReplica(t *testing.T) {
+	r, err := New(Options[struct{}]{
+		Self: "a", Disk: fullStore{}, StateMachine: nullStore{}, Send: func(quorum.Message) {}, Notify: func(quorum.Index) {},
+		ElectionTimeout: time.Minute,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	first := quorum.Snapshot{Index: 1, Term: 1, Members: quorum.Members{Voters: []quorum.Node{"a", "b", "c"}}}
+	require.Error(t, r.Bootstrap(ctx, first))
+	require.ErrorIs(t, <-done, syscall.ENOSPC)
+}
--- a/internal/modules/wal/full_disk_test.go
+++ b/internal/modules/wal/full_disk_test.go
@@ -23,6 +23,7 @@
 	rand    *rand.Rand
 	full    bool
 	fails   float64           // part of the operations that fail while the disk is full
+	only    string            // if set, the only operation that fails
 	synced  map[string][]byte // contents of files
 	durable map[string][]byte // contents of the files, and the folders, whose names are synced too
 	lost    map[string]int    // offset from which the data of a file failed to be synced
@@ -36,7 +37,7 @@
 }
 
 func (d *fillingDisk) check(op, path string) error {
-	if d.full && d.rand.Float64() < d.fails {
+	if d.full && (d.only == "" || d.only == op) && d.rand.Float64() < d.fails {
 		return &os.PathError{Op: op, Path: path, Err: syscall.ENOSPC}
 	}
 	return nil
@@ -269,3 +270,22 @@
 		require.NoError(t, r.log.Close())
 	}
 }
+
+// A log file that a failed save has left with an incomplete record takes no further ones, which would make it corrupt.
+func TestFailedSaveEndsLog(t *testing.T) {
+	for _, op := range []string{"write", "sync"} {
+		t.Run(op, func(t *testing.T) {
+			d, folder := newFillingDisk(t, 7), t.TempDir()
+			l, _, err := OpenOn(d, folder)
+			require.NoError(t, err)
+			require.NoError(t, l.Save(nil, []quorum.Entry{entry(1)}))
+			d.full, d.only = true, op
+			require.ErrorIs(t, l.Save(nil, []quorum.Entry{entry(2)}), syscall.ENOSPC)
+			d.full = false
+			require.Error(t, l.Save(nil, []quorum.Entry{entry(2)}))
+			require.NoError(t, l.Close())
+			write(t, folder, 2, 3)
+			requireEntries(t, folder, 1, 3)
+		})
+	}
+}
--- a/internal/modules/wal/wal.go
+++ b/internal/modules/wal/wal.go
@@ -50,6 +50,7 @@
 	generation uint64           // number in the names of the current log and snapshot files
 	hardState  quorum.HardState // latest saved hard state
 	size       int64            // bytes of the log file
+	failure    error            // of the first write that failed; the log takes no others after it
 }
 
 // Open reads the log in folder and removes an incomplete last record. It creates folder if it does not exist.
@@ -87,10 +88,10 @@
 // Close closes the log file.
 func (l *Log) Close() error { return errors.Annotate(l.file.Close(), "close log") }
 
-// Save appends hardState, unless it is nil, and entries as one record and syncs the file.
+// Save appends hardState, unless it is nil, and entries as one record and syncs the file. After an error the log has to be opened again.
 func (l *Log) Save(hardState *quorum.HardState, entries []quorum.Entry) error {
-	if hardState == nil && len(entries) == 0 {
-		return nil
+	if l.failure != nil || hardState == nil && len(entries) == 0 {
+		return l.failure
 	}
 	if hardState != nil {
 		l.hardState = *hardState
@@ -104,11 +105,20 @@
 	if err == nil {
 		err = l.file.Sync()
 	}
-	return errors.Annotatef(err, "write %s", l.path())
+	l.failure = errors.Annotatef(err, "write %s", l.path())
+	return l.failure
 }
 
-// SaveSnapshot writes s and a new log file that contains only rest, the entries after s, and removes the older files.
+// SaveSnapshot writes s and a new log file that contains only rest, the entries after s, and removes the older files. After an error the log
+// has to be opened again.
 func (l *Log) SaveSnapshot(s quorum.Snapshot, rest []quorum.Entry) error {
+	if l.failure == nil {
+		l.failure = l.saveSnapshot(s, rest)
+	}
+	return l.failure
+}
+
+func (l *Log) saveSnapshot(s quorum.Snapshot, rest []quorum.Entry) error {
 	body, err := cbor.Marshal(s)
 	if err != nil {
 		return errors.Annotate(err, "encode snapshot")
