Files that a full disk cut off no longer take up its room

WriteFile removes what it could not finish, and Open removes everything of the log but the generation that it reads.

Evidence: TestFullDiskLeavesNoFiles failed before for write, sync, rename and the folder's sync. TestFullDiskKeepsWhatWasAcknowledged passes, so that nothing is removed that a loss of power could bring back into use.

--- a/internal/modules/wal/full_disk_test.go
+++ b/internal/modules/wal/full_disk_test.go
@@ -289,3 +289,29 @@
 		})
 	}
 }
+
+// A full disk leaves no files behind that take up the room it lacks.
+func TestFullDiskLeavesNoFiles(t *testing.T) {
+	for _, op := range []string{"create", "write", "sync", "rename", "sync folder"} {
+		t.Run(op, func(t *testing.T) {
+			d, folder := newFillingDisk(t, 7), t.TempDir()
+			l, _, err := OpenOn(d, folder)
+			require.NoError(t, err)
+			require.NoError(t, l.Save(nil, []quorum.Entry{entry(1)}))
+			d.full, d.only = true, op
+			require.ErrorIs(t, l.SaveSnapshot(quorum.Snapshot{Index: 1, Term: 1}, nil), syscall.ENOSPC)
+			files, err := filepath.Glob(filepath.Join(folder, "*.tmp"))
+			require.NoError(t, err)
+			require.Empty(t, files)
+			require.NoError(t, l.Close())
+			d.full = false
+			require.NoError(t, os.WriteFile(filepath.Join(folder, logName(2)+".tmp"), nil, filePerm), "of a process that was killed")
+			l, _, err = OpenOn(d, folder)
+			require.NoError(t, err)
+			require.NoError(t, l.Close())
+			list, err := os.ReadDir(folder)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(list), 2, "one log and its snapshot")
+		})
+	}
+}
--- a/internal/modules/wal/wal.go
+++ b/internal/modules/wal/wal.go
@@ -16,6 +16,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/modules/quorum"
 )
@@ -137,7 +138,8 @@
 	if err := l.switchTo(generation, int64(len(first))); err != nil {
 		return err
 	}
-	return l.removeOlder(generation)
+	l.removeOthers()
+	return l.files.SyncFolder(l.folder)
 }
 
 // switchTo opens the log file of generation, which has size bytes, for appending and closes the previous one.
@@ -176,20 +178,30 @@
 		err = files.Rename(tmp, path)
 	}
 	if err != nil {
+		if rerr := files.Remove(tmp); rerr != nil { // it takes up room that the disk may lack
+			klog.ErrorS(rerr, "Failed to remove an incomplete file", "file", tmp)
+		}
 		return errors.Annotatef(err, "write %s", path)
 	}
 	return files.SyncFolder(filepath.Dir(path))
 }
 
-// removeOlder removes the files of the generations before generation.
-func (l *Log) removeOlder(generation uint64) error {
-	for _, n := range l.generations(logPrefix) {
-		if n < generation {
-			l.files.Remove(filepath.Join(l.folder, logName(n)))
-			l.files.Remove(filepath.Join(l.folder, snapshotName(n)))
+// removeOthers removes the files of other generations, and the incomplete files of a process that was killed. Those that can't be removed
+// only take up room.
+func (l *Log) removeOthers() {
+	files, err := os.ReadDir(l.folder)
+	if err != nil {
+		klog.ErrorS(err, "Failed to look for old files", "folder", l.folder)
+	}
+	for _, f := range files {
+		name := f.Name()
+		isOurs := strings.HasPrefix(name, logPrefix) || strings.HasPrefix(name, snapshotPrefix)
+		if isOurs && name != logName(l.generation) && name != snapshotName(l.generation) {
+			if err := l.files.Remove(filepath.Join(l.folder, name)); err != nil {
+				klog.ErrorS(err, "Failed to remove an old file", "file", name)
+			}
 		}
 	}
-	return l.files.SyncFolder(l.folder)
 }
 
 func logName(n uint64) string      { return fmt.Sprintf("%s%016d", logPrefix, n) }
@@ -260,7 +272,11 @@
 	if err := l.repair(data, last, offset); err != nil {
 		return err
 	}
-	return l.switchTo(l.generation, int64(offset))
+	if err := l.switchTo(l.generation, int64(offset)); err != nil {
+		return err
+	}
+	l.removeOthers()
+	return nil
 }
 
 // repair removes the incomplete record that may follow offset, and writes the last record before it once more, to the same place, and syncs
