A disk that fills while a VM is built no longer ends the process

A disk that filled up between the probe for room and the first files of a start (the disk's identity, the mark of a first start, the log) ended the process with an exit of its own: runThroughFullDisks went on only after errors of Run, not of the build. Trying again alone did not help, since the VM that could not be built kept its peer address and its log file: "bind: address already in use".

An error of the build that is a lack of space is now handled like one of Run, with a pause of 0.1 s in case there is room for the probe only; vm.New closes its transport, and the agent its log, if the agent can't be built.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -21,6 +21,7 @@
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/setting"
 	"wagtaillift/internal/modules/wal"
 	"wagtaillift/internal/routers/vm"
@@ -53,30 +54,42 @@
 	Run(ctx context.Context) error
 }
 
-// runThroughFullDisks runs the VM that build returns. If it ends because the disk of folder is full, the next one starts in the same process
-// once there is room: a control VM without its log must stop serving, but its process need not end. Any other error is returned.
+// runThroughFullDisks runs the VM that build returns. If it can't be built or ends because the disk of folder is full, the next one starts in
+// the same process once there is room: a control VM without its log must stop serving, but its process need not end. Any other error is
+// returned.
 func runThroughFullDisks(ctx context.Context, folder string, build func() (runner, error)) error {
 	for {
-		if folder != "" {
-			if err := wal.AwaitRoom(ctx, folder); err != nil {
-				if ctx.Err() != nil {
-					return nil // stopped as planned while it waited
-				}
-				return err
-			}
-		}
-		v, err := build()
-		if err != nil {
-			return err
-		}
-		err = v.Run(ctx)
+		err := runOnceWithRoom(ctx, folder, build)
 		if ctx.Err() != nil || !errors.Is(err, syscall.ENOSPC) {
 			return err
 		}
 		klog.ErrorS(err, "VM stopped on a full disk; it starts again once there is room", "folder", folder)
+		if !pause.For(ctx, fullDiskPause) {
+			return nil
+		}
 	}
 }
 
+// fullDiskPause is the time until the next start after a disk was full, which may have room for the probe only.
+const fullDiskPause = 100 * time.Millisecond
+
+// runOnceWithRoom waits for room in folder, unless it is empty, and runs the VM that build returns.
+func runOnceWithRoom(ctx context.Context, folder string, build func() (runner, error)) error {
+	if folder != "" {
+		if err := wal.AwaitRoom(ctx, folder); err != nil {
+			if ctx.Err() != nil {
+				return nil // stopped as planned while it waited
+			}
+			return err
+		}
+	}
+	v, err := build()
+	if err != nil {
+		return err
+	}
+	return v.Run(ctx)
+}
+
 type foundArgs struct {
 	Config    string `arg:"--config,required" help:"settings file of the first control VM" placeholder:"FILE"`
 	KeyFolder string `arg:"--keys,required" help:"folder to write the first keys into" placeholder:"FOLDER"`
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -111,6 +111,7 @@
 		},
 	})
 	if err != nil {
+		v.transport.Close() // the process may build the VM again, once its disk has room
 		return nil, err
 	}
 	v.buildRoster(inc)
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
-	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/clock"
@@ -118,27 +116,6 @@
 	return a, nil
 }
 
-func (a *Agent) openReplica() error {
-	disk, err := diskIdentity(a.opt.Files, a.opt.Folder)
-	if err != nil {
-		return err
-	}
-	log, stored, err := wal.OpenOn(a.opt.Files, filepath.Join(a.opt.Folder, "log"))
-	if err != nil {
-		return errors.Annotate(err, "open replicated log")
-	}
-	a.node = nodeName(a.opt.VM, disk)
-	if err := a.saveFirstStart(); err != nil {
-		return err
-	}
-	a.loadAddresses()
-	a.replica, err = replica.New(replica.Options[state.Result]{
-		Self: a.node, Disk: log, State: stored, StateMachine: a.feed, Send: a.sendLog, ClockDrift: lease.MaxClockDrift,
-		Notify: a.reportNewRevision, Seed: uint64(a.opt.Incarnation), ElectionTimeout: a.timing.ElectionTimeout,
-	})
-	return err
-}
-
 // reportNewRevision sends an early report after a configuration change, so that the leader soon learns that this VM has
 // applied it.
 func (a *Agent) reportNewRevision(quorum.Index) {
--- a/internal/services/authority/bootstrap.go
+++ b/internal/services/authority/bootstrap.go
@@ -9,10 +9,12 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
+	"wagtaillift/internal/models/lease"
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/peer"
 	"wagtaillift/internal/modules/quorum"
+	"wagtaillift/internal/modules/replica"
 	"wagtaillift/internal/modules/wal"
 )
 
@@ -27,6 +29,37 @@
 	FirstStart bool        `cbor:"3,keyasint,omitempty"`
 }
 
+// openReplica opens the log in the data folder and the replica that runs on it.
+func (a *Agent) openReplica() error {
+	disk, err := diskIdentity(a.opt.Files, a.opt.Folder)
+	if err != nil {
+		return err
+	}
+	log, stored, err := wal.OpenOn(a.opt.Files, filepath.Join(a.opt.Folder, "log"))
+	if err != nil {
+		return errors.Annotate(err, "open replicated log")
+	}
+	a.node = nodeName(a.opt.VM, disk)
+	err = a.saveFirstStart()
+	if err == nil {
+		a.loadAddresses()
+		a.replica, err = a.newReplica(log, stored)
+	}
+	if err != nil {
+		if cerr := log.Close(); cerr != nil {
+			klog.ErrorS(cerr, "Failed to close the log", "node", a.node)
+		}
+	}
+	return err
+}
+
+func (a *Agent) newReplica(log *wal.Log, stored quorum.State) (*replica.Replica[state.Result], error) {
+	return replica.New(replica.Options[state.Result]{
+		Self: a.node, Disk: log, State: stored, StateMachine: a.feed, Send: a.sendLog, ClockDrift: lease.MaxClockDrift,
+		Notify: a.reportNewRevision, Seed: uint64(a.opt.Incarnation), ElectionTimeout: a.timing.ElectionTimeout,
+	})
+}
+
 // saveFirstStart records on disk that this VM takes part in the first start, or restores that fact from disk.
 func (a *Agent) saveFirstStart() error {
 	path := filepath.Join(a.opt.Folder, firstStartFile)
