A quota that is used up is waited for like a full disk

A control VM whose folder had used up its quota ended its process, and each start ended it again, as only ENOSPC counted as a lack of space. EDQUOT now counts too. TestRunThroughUsedUpQuota failed before.

--- a/cmd/full_disk_test.go
+++ b/cmd/full_disk_test.go
@@ -5,9 +5,11 @@
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"wagtaillift/internal/modules/setting"
@@ -55,3 +57,15 @@
 	defer c.Close()
 	return c.LocalAddr().String()
 }
+
+// A quota that is used up ends the VM and not the process, as a full disk does.
+func TestRunThroughUsedUpQuota(t *testing.T) {
+	broken := errors.New("the log is damaged")
+	list := []error{errors.Annotate(syscall.EDQUOT, "replica"), broken}
+	err := runThroughFullDisks(t.Context(), t.TempDir(), func() (runner, error) {
+		r := endingRunner{list[0]}
+		list = list[1:]
+		return r, nil
+	})
+	require.ErrorIs(t, err, broken)
+}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -60,7 +59,7 @@
 func runThroughFullDisks(ctx context.Context, folder string, build func() (runner, error)) error {
 	for {
 		err := runOnceWithRoom(ctx, folder, build)
-		if ctx.Err() != nil || !errors.Is(err, syscall.ENOSPC) {
+		if ctx.Err() != nil || !wal.LacksRoom(err) {
 			return err
 		}
 		klog.ErrorS(err, "VM stopped on a full disk; it starts again once there is room", "folder", folder)
--- a/internal/modules/wal/writable.go
+++ b/internal/modules/wal/writable.go
@@ -18,6 +18,11 @@
 	probeInterval = 100 * time.Millisecond
 )
 
+// LacksRoom reports whether err means that a disk is full, or the quota on it.
+func LacksRoom(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // AwaitRoom waits until the disk that holds folder accepts a write, or ctx ends. A VM that starts while its disk is full would join
 // the fleet and end again at its first write. Any error but a lack of space is returned at once.
 func AwaitRoom(ctx context.Context, folder string) error { return AwaitRoomOn(ctx, OS, folder) }
@@ -26,7 +31,7 @@
 func AwaitRoomOn(ctx context.Context, files Files, folder string) error {
 	for first := true; ; first = false {
 		err := probe(files, folder)
-		if err == nil || !errors.Is(err, syscall.ENOSPC) {
+		if err == nil || !LacksRoom(err) {
 			return err
 		}
 		if first {
