--- a/internal/services/authority/full_disk_test.go
+++ b/internal/services/authority/full_disk_test.go
@@ -246,8 +246,8 @@
 	}
 }
 
-// The disks of the control VMs fill up one after another, each for a moment. Every change is answered meanwhile and after the last, and all disks
-// vote again.
+// The disks of the control VMs fill up one after another, each for a moment, some again just after it. Every change is answered meanwhile and
+// after the last, and all disks vote again.
 func TestDisksFillInTurn(t *testing.T) {
 	for i, fleet := range []struct{ control, voters, rounds int }{{3, 3, 2}, {4, 3, 2}, {5, 3, 2}, {5, 5, 1}} {
 		t.Run(fmt.Sprint(fleet.control, " control VMs, ", fleet.voters, " voters"), func(t *testing.T) {
@@ -266,6 +266,9 @@
 				for _, n := range list {
 					g.fill(n, time.Duration(100+order.IntN(2)*2200)*time.Millisecond)
 					time.Sleep(time.Duration(order.IntN(300)) * time.Millisecond)
+					if order.IntN(3) == 0 { // again while the VM starts
+						g.fill(n, 300*time.Millisecond)
+					}
 				}
 			}
 			after := o.sent.Load()
