A long body is written to an upstream from where it lies

Cause: Message.encode copied the body behind the head so that both left in one write.

Now encode returns the head, filled up with the body to the 8 KB that are written inline, and the rest of the body as it lies. Requests of up to 8 KB are still one write in the caller's goroutine. Longer ones are two writes, one after the other in the same background goroutine, whose result says as before whether all of the request was written; none of them ever returned before the first byte, so that "sent" stays true. The message no longer refers to the body afterwards, so that its owner decides how long it is kept.

Evidence: TestPoolWritesLongBodyFromWhereItLies compares hashes at sizes around the bound. One writev for both parts was left out, as two plain writes need nothing new of the system and the first one carries 8 KB.

--- a/internal/modules/upstream/confirm.go
+++ b/internal/modules/upstream/confirm.go
@@ -69,7 +69,8 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, pc.close)
 	defer stop()
-	if _, err := pc.conn.Write(c.Question.encode()); err != nil {
+	head, _ := c.Question.encode()
+	if _, err := pc.conn.Write(head); err != nil {
 		return 0, cause(ctx, err)
 	}
 	resp, err := pc.read(&c.Question)
--- a/internal/modules/upstream/message.go
+++ b/internal/modules/upstream/message.go
@@ -47,9 +47,9 @@
 	return nil
 }
 
-// encode returns m in HTTP/1.1 wire format.
-func (m *Message) encode() []byte {
-	b := make([]byte, 0, 512+len(m.Body))
+// encode returns m in HTTP/1.1 wire format: head holds all of a message of up to maxInlineWrite, and rest is the part of the body that follows.
+func (m *Message) encode() (head, rest []byte) {
+	b := make([]byte, 0, 512+min(len(m.Body), maxInlineWrite))
 	b = append(b, m.Method...)
 	b = append(b, ' ')
 	b = append(b, m.Target...)
@@ -70,5 +70,6 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	return append(b, m.Body...)
+	n := min(len(m.Body), max(0, maxInlineWrite-len(b)))
+	return append(b, m.Body[:n]...), m.Body[n:]
 }
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -159,21 +159,30 @@
 }
 
 // write sends m. A request longer than maxInlineWrite is sent in the background, because an upstream may answer before it
-// has read the whole request.
+// has read the whole request; its body is written from where it lies, and m no longer refers to it.
 func (r *Reply) write(m *Message) error {
-	data := m.encode()
-	if len(data) <= maxInlineWrite {
-		_, err := r.pooledConn.conn.Write(data)
+	head, rest := m.encode()
+	conn := r.pooledConn.conn
+	if len(head) <= maxInlineWrite && len(rest) == 0 {
+		_, err := conn.Write(head)
 		return err
 	}
+	m.Body = nil
 	r.writeDone = make(chan error, 1)
 	go func() {
-		_, err := r.pooledConn.conn.Write(data)
-		r.writeDone <- err
+		r.writeDone <- writeParts(conn, head, rest)
 	}()
 	return nil
 }
 
+func writeParts(conn net.Conn, head, rest []byte) error {
+	if _, err := conn.Write(head); err != nil || len(rest) == 0 {
+		return err
+	}
+	_, err := conn.Write(rest)
+	return err
+}
+
 // read returns the answer to m. It skips 1xx responses and late answers to earlier requests.
 func (pc *pooledConn) read(m *Message) (*http.Response, error) {
 	req := &http.Request{Method: m.Method}
--- a/internal/modules/upstream/pool_test.go
+++ b/internal/modules/upstream/pool_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -250,6 +253,37 @@
 	require.EqualValues(t, 2, s.connCount.Load())
 }
 
+// A body was copied for the write, so that it was held twice.
+func TestPoolWritesLongBodyFromWhereItLies(t *testing.T) {
+	s := startUpstream(t, func(_ *testUpstream, _ int64, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			h := fnv.New64()
+			io.Copy(h, req.Body)
+			io.WriteString(c, answer("1", strconv.FormatUint(h.Sum64(), 16)))
+		}
+	})
+	for _, size := range []int{0, 1, maxInlineWrite - 200, maxInlineWrite, maxInlineWrite + 1, 64 << 10, 16 << 20} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			var p Pool
+			body := strings.Repeat("0123456789", size/10+1)[:size]
+			m := message("1", body)
+			h := fnv.New64()
+			io.WriteString(h, body)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			got, _, err := exchange(t, &p, s.address(), m)
+			runtime.ReadMemStats(&after)
+			require.NoError(t, err)
+			require.Equal(t, strconv.FormatUint(h.Sum64(), 16), got)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+		})
+	}
+}
+
 func TestPoolDoReturnsWhenContextEnds(t *testing.T) {
 	closed := make(chan struct{})
 	s := startUpstream(t, func(s *testUpstream, _ int64, _ net.Conn, r *bufio.Reader) {
