What requests make a VM hold has a bound in bytes

Cause: every body was read whole, whatever others held, and kept until the answer had ended, also where no second attempt could follow. The setting "memory" moved only Go's soft limit, which refuses nothing.

Now there is one budget, internal/modules/memory: atomics, no locks, and a zero value that counts and sets no bound. It is derived from "memory": two thirds of what the soft limit (0.7) leaves beyond 48 MB for the VM itself; the third is for garbage, the 30% for what the kernel holds. Room is taken before bytes are read, by Content-Length, or step by step with both buffers counted while one is copied into the next. The bytes of an accepted body that lie unread in the kernel are part of that room. What does not fit gets 503, not run, with a Retry-After, and the connection is closed without reading on. A quarter is kept for requests of up to 64 KB, and large ones of one customer hold at most four times what is left, so that others always find some. The customer is looked up by the key before a large body is read. Model calls of the OpenAI face take room for five copies, as many as they make. Answers that are read whole, and failures that are kept, take room too; without it they are passed on as they come. Go's soft limit now also applies to that face, as the sample configuration said.

A body is given up when an answer has begun and no second attempt can follow. While more than half of the budget is taken, a large one is given up already when it was written for the last attempt: then a refusal of the upstream is passed to the caller as 503, not run, in place of another attempt. Which of the two goroutines gives the body up is decided by one compare-and-swap on the number of the attempt; the goroutine that still writes keeps its room. The fingerprint of a request is computed once, as the body may be gone when it is logged (it was computed some five times before).

Tests: the budget against a plain model and from eight goroutines, never above the bound, nothing left; TestRoomIsGivenBack with callers that leave in their body, chunked and told bodies, engines that answer early, late, cut, refuse, abort or fall silent, handlers that panic, a VM that stops.

Not in it: control VMs, buffers of tunnels and event streams, a fixed charge for each request.

--- a/internal/modules/upstream/message.go
+++ b/internal/modules/upstream/message.go
@@ -20,6 +20,10 @@
 	Body    []byte
 	HasBody bool // writes Content-Length even if Body is empty
 
+	// KeepBody is called before a write that may go on after Do has returned. The function that it returns is called when Body is no longer
+	// used; written reports whether all of it was. Nil does nothing.
+	KeepBody func() (done func(written bool))
+
 	// IsOwnAnswer reports whether an answer with header h belongs to this request; nil accepts any answer.
 	IsOwnAnswer func(h http.Header) bool
 	// Allow is called immediately before the write; if it returns false, the request is not sent. Nil always allows it.
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -167,10 +167,16 @@
 		_, err := conn.Write(head)
 		return err
 	}
+	done := func(bool) {}
+	if m.KeepBody != nil {
+		done = m.KeepBody()
+	}
 	m.Body = nil
 	r.writeDone = make(chan error, 1)
 	go func() {
-		r.writeDone <- writeParts(conn, head, rest)
+		err := writeParts(conn, head, rest)
+		done(err == nil)
+		r.writeDone <- err
 	}()
 	return nil
 }
--- a/internal/routers/caller/caller.go
+++ b/internal/routers/caller/caller.go
@@ -95,6 +95,7 @@
 		c := &call.Call{
 			ID: id.Request(rand.Text()), Kind: kind, W: w, R: r, Start: time.Now(), StartSinceBoot: clock.SinceBoot(), Config: h.Config(),
 		}
+		defer c.Room.Release()
 		if kind == call.Plain {
 			c.Service.ID = id.Service(r.PathValue("service"))
 			c.Path = "/" + strings.TrimPrefix(r.URL.EscapedPath(), "/s/"+r.PathValue("service")+"/")
--- /dev/null
+++ b/internal/routers/vm/memory.go
@@ -0,0 +1,45 @@
+package vm
+
+import (
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"k8s.io/klog/v2"
+
+	"wagtaillift/internal/modules/memory"
+)
+
+const (
+	megabyte            = 1 << 20
+	memoryLimitFraction = 0.7           // fraction of the configured memory set as Go's soft memory limit; the rest is for the kernel's buffers and what Go does not count
+	vmMemory            = 48 * megabyte // what a VM needs itself
+	minHeapDivisor      = 4             // of a small soft limit, limit/minHeapDivisor is for requests and garbage
+	requestFraction     = 2.0 / 3       // of what the VM does not need; the rest is for garbage
+)
+
+// limitMemory sets Go's soft memory limit and the budget of requests, if the settings name the memory of the VM.
+func (v *VM) limitMemory() {
+	if v.cfg.MemoryMB <= 0 {
+		return
+	}
+	soft, requests := memoryLimits(int64(v.cfg.MemoryMB) * megabyte)
+	debug.SetMemoryLimit(soft)
+	v.memory.SetLimit(requests)
+	klog.InfoS("Memory limited", "memory", v.cfg.MemoryMB, "soft", soft, "requests", requests)
+}
+
+// memoryLimits returns Go's soft memory limit, and the bytes that requests may hold, of a VM with so much memory.
+func memoryLimits(total int64) (soft, requests int64) {
+	soft = int64(memoryLimitFraction * float64(total))
+	return soft, int64(requestFraction * float64(max(soft-vmMemory, soft/minHeapDivisor)))
+}
+
+// writeMemoryMetrics writes the bytes that requests hold, their bound, and how often there was no room.
+func (v *VM) writeMemoryMetrics(w io.Writer) {
+	for _, u := range memory.Uses() {
+		fmt.Fprintf(w, "wagtaillift_request_bytes{use=%q} %d\n", u, v.memory.Held(u))
+		fmt.Fprintf(w, "wagtaillift_request_bytes_rejected_total{use=%q} %d\n", u, v.memory.Rejected(u))
+	}
+	fmt.Fprintf(w, "wagtaillift_request_bytes_limit %d\n", v.memory.Limit())
+}
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,9 +23,7 @@
 
 const (
 	cleanupInterval     = 2 * time.Second
-	memoryLimitFraction = 0.7 // fraction of the configured memory set as Go's soft memory limit; the rest is for stacks and buffers
 	retryBudgetFraction = 0.8 // fraction of the retry budget that is divided between VMs, because shares grow when a VM that spent its own is lost
-	megabyte            = 1 << 20
 )
 
 // platformServer holds the components that a VM needs to serve the platform API.
@@ -42,9 +39,6 @@
 // callers and takes part in load exchange as a sender; one with an operator address serves operators and upstreams.
 func (v *VM) buildPlatform(inc id.Incarnation) {
 	a := v.authority
-	if v.cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(v.cfg.MemoryMB) * megabyte))
-	}
 	server := &platformServer{pool: &upstream.Pool{Dialer: &v.dialer}}
 	v.platform = server
 	var emptyUntil time.Duration
@@ -65,7 +59,7 @@
 		},
 	}
 	server.caller = &platform.Caller{
-		Config: a.Config, Forwarder: server.forwarder, Stopping: &v.stopping, RecordOutcome: countRequest,
+		Config: a.Config, Forwarder: server.forwarder, Stopping: &v.stopping, RecordOutcome: countRequest, Memory: &v.memory,
 	}
 	server.control = &platform.Control{
 		ControlPlane: a, Roster: v.roster, Ready: v.ready, BroadcastAndWait: v.gossip.BroadcastAndWait,
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -19,6 +19,7 @@
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/memory"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
 	"wagtaillift/internal/modules/setting"
@@ -76,6 +77,7 @@
 	sharer         *quarantine.Sharer
 	detector       *quarantine.Detector
 	orders         *order.Service
+	memory         memory.Budget
 	stopping       atomic.Bool
 	unhealthy      atomic.Bool
 	servers        []*http.Server
@@ -99,6 +101,7 @@
 		cfg.Peers.Advertise = v.transport.Address()
 		v.cfg = cfg
 	}
+	v.limitMemory()
 	inc := id.Incarnation(time.Now().UnixNano())
 	v.authority, err = authority.New(authority.Options{
 		VM: id.VM(cfg.VM), Zone: id.Zone(cfg.Zone), Incarnation: inc, Peer: cfg.PeerAddress(),
@@ -262,7 +265,7 @@
 		Config: a.Config,
 		Filters: []pipeline.Filter{
 			pipeline.Authenticate(a),
-			pipeline.Classify(pipeline.BodyLimits{Body: int64(v.cfg.Caller.Body), ReadTimeout: v.cfg.Caller.ReadTimeout}),
+			pipeline.Classify(pipeline.BodyLimits{Body: int64(v.cfg.Caller.Body), ReadTimeout: v.cfg.Caller.ReadTimeout, Memory: &v.memory}),
 			pipeline.RateLimit(v.limiter),
 		},
 		Dispatcher: d, Claims: &pipeline.Claims{Proposer: a, VM: a.VM(), Incarnation: inc},
@@ -337,6 +340,7 @@
 		metrics.WritePrometheus(w, true)
 		v.writeBurnRates(w)
 		v.writeControlMetrics(w)
+		v.writeMemoryMetrics(w)
 	})
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
--- a/internal/services/call/call.go
+++ b/internal/services/call/call.go
@@ -10,6 +10,7 @@
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/models/suspect"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/memory"
 )
 
 // Run tells a caller whether an upstream executed the refused request.
@@ -56,6 +57,7 @@
 	OutcomeUnknown       Code = "outcome_unknown"
 	BodyTruncated        Code = "truncated"
 	BodyTimeout          Code = "slow"
+	NoMemory             Code = "no_memory"
 )
 
 // Refusal is an error response to a caller. After the request has passed the filters, only the dispatcher may set Run
@@ -124,7 +126,8 @@
 	Key      id.Key
 	Customer id.Customer
 
-	Body           []byte // complete body; nil if it is streamed
+	Body           []byte      // complete body; nil if it is streamed
+	Room           memory.Hold // of Body and its copies
 	Model          ModelBody
 	Stream         bool
 	PromptTokens   id.Tokens             // estimated prompt length
--- a/internal/services/forward/answer.go
+++ b/internal/services/forward/answer.go
@@ -26,15 +26,13 @@
 func (f *Forwarder) forwardPlain(c *Call, sel *selection, p *progress, a *Answer, out Sink) error {
 	sel.finishPrefill()
 	f.countUsage(c)
-	var buf bytes.Buffer // doubles its size, unlike io.ReadAll
-	_, err := buf.ReadFrom(io.LimitReader(a.Body, maxBufferedBytes))
+	data, whole, err := c.readAnswer(a)
 	if err != nil {
 		a.Release(false)
 		return err
 	}
-	data := buf.Bytes()
 	c.sent = true
-	if len(data) == maxBufferedBytes {
+	if !whole {
 		p.answerBegun = true
 		return f.forwardLarge(a, data, out)
 	}
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -107,7 +107,7 @@
 // shouldRetry reports whether another attempt is safe, within the budget and likely to finish in time.
 func (f *Forwarder) shouldRetry(ctx context.Context, c *Call, p *progress, err error) bool {
 	var ae *attemptError
-	if ctx.Err() != nil || !errors.As(err, &ae) || errors.Is(err, upstream.ErrNotAllowed) {
+	if ctx.Err() != nil || c.bodyGone() || !errors.As(err, &ae) || errors.Is(err, upstream.ErrNotAllowed) {
 		return false
 	}
 	switch {
@@ -153,7 +153,7 @@
 	}
 	if errors.As(err, &ae) && !sent {
 		retryAfter := max(p.retryAfter, shortRetryAfter)
-		return refuse(http.StatusServiceUnavailable, call.Busy, "no upstream took the request: "+err.Error()).WithRetryAfter(addJitter(retryAfter, c.ID))
+		return refuse(http.StatusServiceUnavailable, call.Busy, "no upstream took the request: "+err.Error()).WithRetryAfter(AddJitter(retryAfter, c.ID))
 	}
 	return failedRefusal(http.StatusBadGateway, call.UpstreamFailed, sent, "the upstream failed", err)
 }
@@ -218,7 +218,10 @@
 	if f.mustConfirm(clock.SinceBoot(), c) {
 		t.Incarnation = sel.u.Incarnation
 	}
+	last := !c.repeatable() || p.possibleRuns+1 >= c.route.MaxAttempts
+	c.beginAttempt(last)
 	a, sent, err := f.UpstreamClient.Send(ctx, t, c)
+	c.endAttempt()
 	if err != nil {
 		return f.attemptFailed(ctx, c, sel, p, sent, err)
 	}
@@ -228,6 +231,9 @@
 		sel.u.Stats.RecordOutcome(clock.SinceBoot(), false)
 		return &attemptError{err: errors.Errorf("status %d, not run", a.Status), sent: true, notRun: true}
 	}
+	if last {
+		c.dropBody()
+	}
 	switch {
 	case a.Stream && a.Status/100 == 2:
 		err = f.forwardStream(c, sel, p, a, out, silence, start)
--- a/internal/services/forward/authenticate.go
+++ b/internal/services/forward/authenticate.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"wagtaillift/internal/models/key"
+	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/services/call"
 )
 
@@ -22,3 +23,11 @@
 	}
 	return nil
 }
+
+// CustomerOf returns the customer whose key secret is, or the empty string.
+func (f *Forwarder) CustomerOf(secret string) id.Customer {
+	if k, ok := f.Config().KeyByHash(key.Hash(secret)); ok && secret != "" {
+		return k.Customer
+	}
+	return ""
+}
--- a/internal/services/forward/call.go
+++ b/internal/services/forward/call.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,6 +16,7 @@
 	"wagtaillift/internal/models/service"
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/memory"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/origin"
 	"wagtaillift/internal/services/pace"
@@ -31,6 +33,7 @@
 	Path           string // path of Target
 	Header         http.Header
 	Body           []byte
+	Room           memory.Hold              // of Body; its owner calls Release of the Call
 	HasBody        bool                     // the caller sent a body, possibly empty
 	Secret         string                   // the caller's key; empty if missing
 	Model          id.Model                 // empty for plain services
@@ -60,6 +63,13 @@
 	begun           bool   // the stream has begun, in this answer or an earlier one of the caller
 	origin          origin.Origin
 	attempts        []call.Attempt
+	attempt         int32        // number of the latest attempt
+	lastAttempt     bool         // no other attempt follows unless the upstream refuses the request
+	bodyState       atomic.Int32 // number of the attempt that uses the body, or a state
+	answers         memory.Hold  // room of answers
+	fingerprint     quarantine.Fingerprint
+	printed         bool        // fingerprint is set
+	printedFor      id.Customer // customer in fingerprint
 }
 
 // Target is the destination of one attempt and its options.
--- a/internal/services/forward/choose.go
+++ b/internal/services/forward/choose.go
@@ -213,7 +213,7 @@
 	if ch.Index < 0 {
 		retryAfter := min(maxRetryAfter, max(minRetryAfter, ch.QueueDelay-c.route.Objective/2))
 		klog.InfoS("Request rejected: no engine can answer in time", "request", c.ID, "rule", ch.Rule, "queue", ch.QueueDelay, "unread", ch.TokensToPrefill, "objective", c.route.Objective, "return", retryAfter)
-		return nil, refuse(http.StatusServiceUnavailable, call.Busy, "no engine of "+string(c.service.ID)+" can answer in time").WithRetryAfter(addJitter(retryAfter, c.ID))
+		return nil, refuse(http.StatusServiceUnavailable, call.Busy, "no engine of "+string(c.service.ID)+" can answer in time").WithRetryAfter(AddJitter(retryAfter, c.ID))
 	}
 	u := list[ch.Index]
 	f.caches.add(u, c, cacheMemoryRatio)
@@ -224,9 +224,9 @@
 	return &selection{copyFrom: from, u: u, prefill: u.Role == engine.Prefill, rule: string(ch.Rule), firstEventDelay: ch.FirstTokenDelay, tokensToPrefill: ch.TokensToPrefill, queuedTokens: views[ch.Index].QueuedTokens}, nil
 }
 
-// addJitter returns d lengthened by up to half, depending on the request, so that rejected callers do not all retry at
+// AddJitter returns d lengthened by up to half, depending on the request, so that rejected callers do not all retry at
 // the same time.
-func addJitter(d time.Duration, n id.Request) time.Duration {
+func AddJitter(d time.Duration, n id.Request) time.Duration {
 	const parts = 1024
 	return d + d*time.Duration(hash.String(n)%parts)/(2*parts)
 }
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -247,12 +247,6 @@
 // spendRetry takes one retry from the budget of c's service.
 func (f *Forwarder) spendRetry(c *Call) bool { return f.retryBudget(c).Spend(f.retryBurst()) }
 
-// print returns the fingerprint that identifies c among repeated requests. The request target takes the place of the
-// service. Requests without a body share it if they have the same target; the first that completes clears all of them.
-func (c *Call) print() quarantine.Fingerprint {
-	return quarantine.NewFingerprint(c.customer.ID, id.Service(c.Target), c.Body)
-}
-
 // Log writes the log line of a finished call.
 func (f *Forwarder) Log(c *Call, now time.Time, err error) {
 	outcome := "answered"
--- a/internal/services/forward/turn.go
+++ b/internal/services/forward/turn.go
@@ -24,7 +24,7 @@
 			if wait > f.maxSlotWait(c, p) || !pause.For(ctx, wait) {
 				klog.InfoS("Request rejected: every upstream has what it takes", "request", c.ID, "service", c.service.ID, "next", wait)
 				return nil, refuse(http.StatusServiceUnavailable, call.Busy, "every upstream of "+string(c.service.ID)+" has what it takes").
-					WithRetryAfter(addJitter(min(maxRetryAfter, max(minRetryAfter, wait)), c.ID))
+					WithRetryAfter(AddJitter(min(maxRetryAfter, max(minRetryAfter, wait)), c.ID))
 			}
 			continue
 		}
--- a/internal/services/pipeline/pipeline.go
+++ b/internal/services/pipeline/pipeline.go
@@ -21,6 +21,7 @@
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/memory"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/quarantine"
 )
@@ -102,8 +103,16 @@
 type BodyLimits struct {
 	Body        int64         // maximum body of a model call, in bytes
 	ReadTimeout time.Duration // time in which a buffered body must arrive
+	Memory      *memory.Budget
 }
 
+// modelCopies is how often the body of a model call is held: as it was read, in its parsed fields and messages, as the text of the prompt, and
+// encoded for the upstream.
+const modelCopies = 5
+
+// noMemoryRetryAfter is when a caller may try again for whose body there was no memory.
+const noMemoryRetryAfter = time.Second
+
 // Classify returns the filter that sets the service, body, estimated size and deadline of a call.
 func Classify(b BodyLimits) Filter {
 	return func(_ context.Context, c *call.Call) error {
@@ -115,7 +124,7 @@
 }
 
 func classifyModel(c *call.Call, b BodyLimits) error {
-	data, err := readBody(c, b.Body, b.ReadTimeout)
+	data, err := readBody(c, b.Body, modelCopies, b)
 	if err != nil {
 		return err
 	}
@@ -140,20 +149,22 @@
 	return authorize(c)
 }
 
-// readBody reads a complete body of at most maxBody bytes that arrives within timeout.
-func readBody(c *call.Call, maxBody int64, timeout time.Duration) ([]byte, error) {
+// readBody reads a complete body of at most maxBody bytes, of which so many copies will be held.
+func readBody(c *call.Call, maxBody, copies int64, b BodyLimits) ([]byte, error) {
 	rc := http.NewResponseController(c.W)
-	rc.SetReadDeadline(time.Now().Add(timeout))
-	data, err := io.ReadAll(http.MaxBytesReader(c.W, c.R.Body, maxBody))
-	var large *http.MaxBytesError
+	rc.SetReadDeadline(time.Now().Add(b.ReadTimeout))
+	c.Room.Budget, c.Room.Customer = b.Memory, c.Customer
+	data, err := memory.ReadAll(&c.Room, c.R.Body, c.R.ContentLength, maxBody, copies)
 	if err != nil {
 		c.W.Header().Set("Connection", "close") // the read deadline stays set, so that the server does not wait for the rest of the body
 	}
 	switch {
-	case errors.As(err, &large):
+	case errors.Is(err, memory.ErrNoRoom):
+		return nil, call.Refuse(http.StatusServiceUnavailable, call.NoMemory, "classify", "this VM has no memory left for the body").WithRetryAfter(noMemoryRetryAfter)
+	case errors.Is(err, memory.ErrTooLarge):
 		return nil, call.Refuse(http.StatusRequestEntityTooLarge, call.BodyTooLarge, "classify", "the body is larger than %d bytes", maxBody)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, call.Refuse(http.StatusRequestTimeout, call.BodyTimeout, "classify", "the body did not arrive within %s", timeout)
+		return nil, call.Refuse(http.StatusRequestTimeout, call.BodyTimeout, "classify", "the body did not arrive within %s", b.ReadTimeout)
 	case err != nil:
 		return nil, call.Refuse(http.StatusBadRequest, call.BodyTruncated, "classify", "the body ended early: %s", err)
 	}
@@ -181,7 +192,7 @@
 	}
 	claimed := c.IdempotencyKey != "" && !c.Idempotent
 	if n := c.R.ContentLength; claimed || n >= 0 && n <= maxReplayBody {
-		data, err := readBody(c, maxReplayBody, b.ReadTimeout)
+		data, err := readBody(c, maxReplayBody, 1, b)
 		if err != nil {
 			return err
 		}
