A model stream is checked event by event before anything of it is passed on

What callers saw: on the OpenAI-style face, bytes that an engine in trouble writes into its stream changed the answer. Lines that are no field, events without an ID and events that come twice or restart the stream were left out, so that the answer went on behind them and ended with [DONE]; data that is no chunk (text, an error's JSON, two chunks in one, bytes that are no UTF-8) was passed on; of an event that goes on as another the last ID and the last data were joined; an end event counted with missing or other fields, also with negative token counts, which go into the usage.

Cause: relay looked only for the fields it knows, and took what it found in a block for one event of the protocol. The test of a number below the next one ("already delivered") took the zero of a missing ID for an old event.

Now a block goes out only if all of its lines are those of one event: one ID of this request with the next number, one chunk, no other field or name; an end event has its three fields, once each. The first block that is not sound ends the attempt as a failure of the upstream, and the answer resumes after the last sound token at another engine of the version, or ends with an error event. The log line of the failed attempt names the request, the upstream, the last sound token and the first 96 bytes of what was found; wagtaillift_unsound_streams_total counts it.

A stream with a byte order mark was refused before and is read now.

What follows the end event is still not read: the answer is complete by its own count, and the bytes reach nobody.

The check of the JSON is paid for by the silence timer, which is not reset for each block any more.

--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"wagtaillift/internal/models/engine"
@@ -24,13 +24,12 @@
 	maxLineBytes      = 64 << 10  // longest line of an event stream
 	maxNoiseBytes     = 256 << 10 // bytes of a stream without a new token, such as comments
 	maxResumableBytes = 16 << 20  // bytes of one response kept for resuming it
-	eventEnd          = "end"
 )
 
 const (
 	errTruncated        = errors.ConstError("the stream ended without its end mark")
 	errWrongRequest     = errors.ConstError("the answer belongs to another request")
-	errTokenOrder       = errors.ConstError("a token is missing or out of order")
+	errTooLong          = errors.ConstError("more tokens than are kept for resuming the answer")
 	errReservedForOther = errors.ConstError("the upstream runs another suspect")
 	errRefusedByEngine  = errors.ConstError("the engine refused the request")
 )
@@ -52,13 +51,6 @@
 
 type final = StreamEnd
 
-// event is the server-sent event that is being read.
-type event struct {
-	name bool      // whether the event's name is eventEnd
-	seq  id.Tokens // number of tokens up to this event
-	data []byte
-}
-
 // checkStream returns an error if the response is not an event stream for this request.
 func checkStream(resp *http.Response, want id.Request) error {
 	switch resp.StatusCode {
@@ -89,16 +81,15 @@
 	return &streamBuffer{reader: bufio.NewReaderSize(nil, maxLineBytes), data: make([]byte, 0, maxLineBytes)}
 }}
 
-// relay passes the events of body to out until the end event. The id of an event holds the request and the number of tokens
-// up to it; an event of another request or out of order ends the stream.
+// relay passes the events of body to out until the end event. An event goes to out once its blank line has arrived and it is sound; one
+// that is not sound ends the stream.
 func relay(body io.Reader, want id.Request, out Sink, pr *progress, p *latencyTracker, silence *silenceTimer) error {
 	buf := streamBuffers.Get().(*streamBuffer)
 	defer streamBuffers.Put(buf)
 	r := buf.reader
 	r.Reset(body)
 	defer r.Reset(nil)
-	prefix := append([]byte(want), '/')
-	var ev event
+	ev := event{prefix: append([]byte(want), '/'), buf: buf.data[:0], atStart: true}
 	noise := 0 // bytes since the last token
 	for {
 		line, err := r.ReadSlice('\n')
@@ -108,15 +99,15 @@
 		if noise += len(line); noise > maxNoiseBytes {
 			return errors.Errorf("more than %d bytes without a token", maxNoiseBytes)
 		}
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) > 0 {
-			if err := ev.parseLine(line, prefix, buf.data[:0]); err != nil {
-				return err
-			}
+		done, err := ev.addLine(line)
+		if err != nil {
+			return pr.unsound(err, line)
+		}
+		if !done {
 			continue
 		}
 		before := pr.tokens
-		done, err := ev.deliver(out, pr)
+		done, err = ev.deliver(out, pr)
 		if done || err != nil {
 			return err
 		}
@@ -125,7 +116,7 @@
 		}
 		silence.received(pr.tokens > before)
 		p.recordToken(pr.tokens)
-		ev = event{}
+		ev.reset()
 	}
 }
 
@@ -137,50 +128,27 @@
 	return err
 }
 
-// parseLine parses one line of an event (WHATWG HTML, server-sent events). The event ID must start with prefix,
-// the ID of the request and a slash. The data is stored in buf.
-func (ev *event) parseLine(line, prefix, buf []byte) error {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	value = bytes.TrimPrefix(value, []byte(" "))
-	switch string(name) {
-	case "data":
-		ev.data = append(buf, value...)
-	case "event":
-		ev.name = string(value) == eventEnd
-	case "id":
-		if !bytes.HasPrefix(value, prefix) {
-			return errWrongRequest
-		}
-		n, err := strconv.ParseInt(string(value[len(prefix):]), 10, 64)
-		if err != nil {
-			return errWrongRequest
-		}
-		ev.seq = id.Tokens(n)
-	}
-	return nil
+const maxLoggedBytes = 96 // of what is not sound in a stream
+
+// unsound counts a stream that is not sound after the tokens delivered so far, and annotates err with what was found.
+func (pr *progress) unsound(err error, found []byte) error {
+	metrics.GetOrCreateCounter("wagtaillift_unsound_streams_total").Inc()
+	return errors.Annotatef(err, "after token %d: %q", pr.tokens, found[:min(len(found), maxLoggedBytes)])
 }
 
-// deliver passes a complete event to out; done is true after the end event.
+// deliver passes a complete event to out if it is sound; done is true after the end event.
 func (ev *event) deliver(out Sink, pr *progress) (done bool, err error) {
-	if ev.data == nil {
+	if ev.empty() {
 		return false, nil
 	}
-	if ev.name {
-		var f StreamEnd
-		if err := json.Unmarshal(ev.data, &f); err != nil {
-			return false, errors.Annotate(err, "decode end mark")
-		}
-		if ev.seq != pr.tokens || f.OutputTokens != pr.tokens {
-			return false, errTokenOrder
-		}
-		pr.final = &f
-		return true, callerError{out.End(f)}.orNil()
+	if err := ev.check(pr.tokens); err != nil {
+		return false, pr.unsound(err, ev.data)
 	}
-	if ev.seq <= pr.tokens {
-		return false, nil // already delivered
+	if ev.isEnd {
+		return true, ev.deliverEnd(out, pr)
 	}
-	if ev.seq != pr.tokens+1 || pr.chunks.Len() > maxResumableBytes {
-		return false, errTokenOrder
+	if pr.chunks.Len() > maxResumableBytes {
+		return false, errTooLong
 	}
 	if err := out.Chunk(ev.data); err != nil {
 		return false, callerError{err}
@@ -191,6 +159,15 @@
 	return false, nil
 }
 
+func (ev *event) deliverEnd(out Sink, pr *progress) error {
+	end, err := parseEnd(ev.data, pr.tokens)
+	if err != nil {
+		return pr.unsound(err, ev.data)
+	}
+	pr.final = &end
+	return callerError{out.End(end)}.orNil()
+}
+
 // callerError is a failure to write to the caller.
 type callerError struct{ err error }
 
--- a/internal/services/dispatch/silence.go
+++ b/internal/services/dispatch/silence.go
@@ -21,16 +21,21 @@
 // silenceTimer ends an attempt whose engine has fallen silent. An engine that only sends comments is silent after stallTimeout.
 type silenceTimer struct {
 	timer *time.Timer
-	token time.Time   // of the latest token, or the send
-	begun atomic.Bool // a token has arrived
+	start time.Time
+	token time.Duration // of the latest token since start, or zero
+	end   atomic.Int64  // of the silence that is waited for, as a time.Duration since start. It only grows
+	begun atomic.Bool   // a token has arrived
 }
 
 // newSilenceTimer returns a timer that runs from now. It calls leave after a silence, and again until leave reports that the attempt
 // was ended.
 func newSilenceTimer(leave func(begun bool) bool) *silenceTimer {
-	w := &silenceTimer{token: time.Now()}
+	w := &silenceTimer{start: time.Now()}
+	w.end.Store(int64(streamIdleTimeout))
 	w.timer = time.AfterFunc(time.Hour, func() {
-		if !leave(w.begun.Load()) {
+		if left := time.Duration(w.end.Load()) - time.Since(w.start); left > 0 {
+			w.timer.Reset(left)
+		} else if !leave(w.begun.Load()) {
 			w.timer.Reset(silenceRecheck)
 		}
 	})
@@ -38,13 +43,17 @@
 	return w
 }
 
-// received is called after a block of the stream; tokens reports whether it brought one.
+// received is called after a block of the stream; tokens reports whether it brought one. It leaves the timer as it is, which is cheaper
+// than a reset for each block.
 func (w *silenceTimer) received(tokens bool) {
+	now := time.Since(w.start)
 	if tokens {
-		w.token = time.Now()
-		w.begun.Store(true)
+		w.token = now
+		if !w.begun.Load() {
+			w.begun.Store(true)
+		}
 	}
-	w.timer.Reset(max(0, min(streamIdleTimeout, stallTimeout-time.Since(w.token))))
+	w.end.Store(int64(min(now+streamIdleTimeout, w.token+stallTimeout)))
 }
 
 func (w *silenceTimer) stop() { w.timer.Stop() }
