An answer that names another request is not taken for the refusal of a call

What callers saw: a late 400, 404 or 422 answer to another request, read where the answer to a call is due, ended the call with that status, although its engine ran it; the status was looked at before the request that the answer names. Its limit and its load were recorded as well, for applications too, and a late success took a limit in force back.

An answer that names another request is now the upstream's failure before anything else of it is read; refusals without the field are taken as before, because engines may refuse before they know the request.

No caller got another request's body there: successes and the answers of applications were checked.

--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -195,6 +195,9 @@
 		return errors.Annotatef(err, "send to upstream %s", u.Address)
 	}
 	defer resp.Body.Close()
+	if namesOther(resp, c.ID) {
+		return errors.Annotatef(errWrongRequest, "answer of upstream %s", u.Address)
+	}
 	d.observeAnswer(u, resp, pr.sentAt)
 	if pr.tokens == 0 {
 		pr.version = u.Version
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -156,6 +156,10 @@
 	if err != nil {
 		return nil, sent, errors.Annotatef(err, "send to upstream %s", u.Address)
 	}
+	if namesOther(resp, c.ID) {
+		resp.Body.Close()
+		return nil, true, errors.Annotatef(errWrongRequest, "answer of upstream %s", u.Address)
+	}
 	d.observeAnswer(u, resp, pr.sentAt)
 	a, err := readAnswer(resp, c.ID)
 	return a, true, errors.Annotatef(err, "answer of upstream %s", u.Address)
--- a/internal/services/dispatch/plain_test.go
+++ b/internal/services/dispatch/plain_test.go
@@ -61,6 +61,15 @@
 	receivedAny map[string]int // requests of which any byte arrived, by body text
 	complete    map[string]int // requests that arrived completely, by body text
 	fault       fault
+	answers     string // in place of those of fault
+	keeps       bool   // keeps the connection open after such an answer
+}
+
+// setAnswers sets what x answers.
+func (x *fakeApp) setAnswers(answers string, keeps bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.answers, x.keeps = answers, keeps
 }
 
 func newFakeApp(t require.TestingT, f fault) *fakeApp {
@@ -137,6 +146,13 @@
 
 // answer writes the response and reports whether the connection stays open.
 func (x *fakeApp) answer(c net.Conn, rid string, reset func()) bool {
+	x.mu.Lock()
+	answers, keeps := x.answers, x.keeps
+	x.mu.Unlock()
+	if answers != "" {
+		io.WriteString(c, answers)
+		return keeps
+	}
 	switch x.fault {
 	case resetHeader, resetBody:
 		reset()
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -51,6 +51,12 @@
 
 type final = StreamEnd
 
+// namesOther reports whether the response names another request than want. Refusals may name none.
+func namesOther(resp *http.Response, want id.Request) bool {
+	got := resp.Header.Get(headerRequest)
+	return got != "" && got != string(want)
+}
+
 // checkStream returns an error if the response is not an event stream for this request.
 func checkStream(resp *http.Response, want id.Request) error {
 	switch resp.StatusCode {
