A comment in a stream is not the first token of its latency

An engine that sent a comment or a blank line in time counted as one whose first token was fast, and its concurrency limit grew; a comment right after the eighth token checked the gap once more. recordToken was called for each block, whatever it brought.

Evidence: TestCommentIsNoFirstToken, two cases failed before.

--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -117,11 +117,11 @@
 		if done || err != nil {
 			return err
 		}
+		silence.received(pr.tokens > before)
 		if pr.tokens > before {
 			noise = 0
+			p.recordToken(pr.tokens)
 		}
-		silence.received(pr.tokens > before)
-		p.recordToken(pr.tokens)
 		ev.reset()
 	}
 }
