A message of an upstream is acted on once the whole of it was found sound

A heartbeat, deregistration or announcement was decoded up to the end of its first JSON value and acted on, whatever followed: text, another message, or the break of the connection before the length was reached or the last chunk came. Of a field that comes twice the last one counted. So a spoiled message could take an engine out of every list, or move it to another address.

The decoder of a stream of values was used for one message. jsonfields.Decode reads the body to its end, and refuses what is not one object whose names differ.

--- a/internal/routers/announce/announce.go
+++ b/internal/routers/announce/announce.go
@@ -12,6 +12,7 @@
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/jsonfields"
 	"wagtaillift/internal/services/pipeline"
 	"wagtaillift/internal/services/roster"
 )
@@ -48,8 +49,7 @@
 		return
 	}
 	var announcement engine.Announcement
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodySize))
-	if err := dec.Decode(&announcement); err != nil {
+	if err := jsonfields.Decode(http.MaxBytesReader(w, r.Body, maxBodySize), &announcement); err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
