A change with text after it is refused

PUT and PATCH of the operators' API committed the first JSON object of a body and answered 200, whatever followed it, a second change too. decodeBody decoded one value of a stream of values; it now requires that nothing follows, which also finds a body that breaks off.

--- a/internal/routers/operator/change.go
+++ b/internal/routers/operator/change.go
@@ -16,6 +16,7 @@
 	"wagtaillift/internal/models/service"
 	"wagtaillift/internal/models/state"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/jsonfields"
 )
 
 // ChangeResponse is the response to an accepted change.
@@ -153,11 +154,14 @@
 	return http.StatusBadRequest
 }
 
-// decodeBody reads a JSON body into v and refuses unknown fields.
+// decodeBody reads a JSON body into v and refuses unknown fields and text after it.
 func decodeBody(r *http.Request, v any) error {
 	dec := json.NewDecoder(r.Body)
 	dec.DisallowUnknownFields()
-	return errors.Annotate(dec.Decode(v), "the body")
+	if err := dec.Decode(v); err != nil {
+		return errors.Annotate(err, "the body")
+	}
+	return errors.Annotate(jsonfields.End(dec), "the body")
 }
 
 // matchPathID sets an empty id to the one in the path, and refuses an id that differs from it.
--- a/internal/routers/vm/spoiled_message_test.go
+++ b/internal/routers/vm/spoiled_message_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtaillift/internal/modules/id"
 )
 
 // Guards against acting on the first part of an announcement that goes on as something else or says two things.
@@ -31,3 +33,17 @@
 	require.Equal(t, http.StatusOK, announce(app+"}\n"))
 	require.Len(t, f.vms[0].roster.Snapshot().All, 1)
 }
+
+// Guards against committing the first part of a change that goes on as something else.
+func TestSpoiledChanges(t *testing.T) {
+	f := newFleet(t, 1)
+	for name, body := range map[string]string{"text after it": `{"title":"New"}x`, "two changes": `{"title":"New"}{"title":"Other"}`, "half": `{"title":"New"`} {
+		t.Run(name, func(t *testing.T) {
+			code, out := f.admin(f.vms[0], f.secrets["admin"], "PUT", "customers/new", body, "If-Match", "*")
+			require.Equal(t, http.StatusBadRequest, code, out)
+			require.NotContains(t, f.vms[0].Config().Customers, id.Customer("new"))
+		})
+	}
+	code, out := f.admin(f.vms[0], f.secrets["admin"], "PUT", "customers/new", `{"title":"New"} `, "If-Match", "*")
+	require.Equal(t, http.StatusOK, code, out)
+}
