The report of an engine on its orders is read whole before it counts

An order counted as accepted by the first JSON value of the engine's report, also if text or another report followed, if the order's number came twice or if the body broke off before its length. It is decoded as one object now, and is asked for again otherwise.

--- a/internal/services/order/sender.go
+++ b/internal/services/order/sender.go
@@ -16,6 +16,7 @@
 	"wagtaillift/internal/models/order"
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/jsonfields"
 	"wagtaillift/internal/modules/upstream"
 )
 
@@ -195,7 +196,7 @@
 		return st, errors.Annotatef(err, "read state of upstream %s", address)
 	}
 	defer resp.Body.Close()
-	return st, errors.Annotatef(json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&st), "state of upstream %s", address)
+	return st, errors.Annotatef(jsonfields.Decode(io.LimitReader(resp.Body, maxReplyBytes), &st), "state of upstream %s", address)
 }
 
 // usageReport is the JSON encoding of a usage report.
