--- a/internal/modules/peer/tunnel_test.go
+++ b/internal/modules/peer/tunnel_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -14,6 +15,12 @@
 
 // tunnelTo opens a tunnel from one VM through another one to a connection whose far end is returned.
 func tunnelTo(t *testing.T) (near net.Conn, far *net.TCPConn) {
+	near, far, _ = tunnelThrough(t)
+	return near, far
+}
+
+// tunnelThrough returns the other VM as well.
+func tunnelThrough(t *testing.T) (near net.Conn, far *net.TCPConn, through *Transport) {
 	ca := newCA(t, "fleet")
 	from, to := listen(t, vmCert(t, ca, "vm1", time.Now())), listen(t, vmCert(t, ca, "vm2", time.Now()))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -27,7 +34,32 @@
 	t.Cleanup(func() { near.Close(); c.Close() })
 	near.SetDeadline(time.Now().Add(10 * time.Second))
 	c.SetDeadline(time.Now().Add(10 * time.Second))
-	return near, c.(*net.TCPConn)
+	return near, c.(*net.TCPConn), to
+}
+
+// The loss of the VM in between, in the middle of an answer that nothing but its close would end, is no end.
+func TestTunnelThroughALostVM(t *testing.T) {
+	for name, lose := range map[string]func(through *Transport){
+		"it ends":                      func(through *Transport) { through.Close() },
+		"it ends and sends no word":    func(through *Transport) { through.quic.Conn.Close() },
+		"it ends without its listener": func(through *Transport) { through.quic.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			near, far, through := tunnelThrough(t)
+			_, err := far.Write([]byte("half an answer"))
+			require.NoError(t, err)
+			got := make([]byte, len("half an answer"))
+			_, err = io.ReadFull(near, got)
+			require.NoError(t, err)
+			near.SetDeadline(time.Now().Add(time.Minute))
+			lose(through)
+			rest, err := io.ReadAll(near)
+			require.Error(t, err)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.Empty(t, rest)
+		})
+	}
 }
 
 func TestTunnel(t *testing.T) {
