An answer whose head holds another status line is not taken

An upstream that broke off inside the head of an answer and wrote the next answer behind it, on a kept connection or a new one, had the two read as one: the rest of the old field swallowed the new status line, so that the new answer got the old one's status, a refusal that of a success among them. The head cut inside the reason of the status line did the same.

An answer with a status line in its status or in a value of its head is now the upstream's failure, in the pool and in the client of the OpenAI-style face.

--- a/internal/modules/upstream/client.go
+++ b/internal/modules/upstream/client.go
@@ -101,6 +101,10 @@
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	resp, err = c.http.Do(r)
 	if err == nil {
+		if err := checkHead(resp); err != nil {
+			resp.Body.Close()
+			return nil, true, err
+		}
 		return resp, true, nil
 	}
 	cc := current.Load()
--- a/internal/modules/upstream/pool.go
+++ b/internal/modules/upstream/pool.go
@@ -199,6 +199,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode/100 == 1 {
 			if interims++; interims > maxInterimAnswers {
 				return nil, errors.New("too many interim answers")
