An answer to the probe that names no process is no sign of a crash

After a failed attempt the upstream is asked whether its process is still the same. An answer without the field, with a word, with two numbers, or a failure of an engine in trouble counted as another process: the engine's incarnation was marked as crashed, and what ran on it became a suspect, so that callers could get 422 for requests that crashed nothing. An upstream that names no incarnation at all counted so after each failed attempt.

Only a refused connection, or one readable number that differs, says that the process is gone.

--- a/internal/services/dispatch/crashed.go
+++ b/internal/services/dispatch/crashed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"wagtaillift/internal/models/policy"
@@ -15,6 +16,8 @@
 )
 
 const (
+	headerIncarnation = "Wagtaillift-Incarnation"
+
 	probeTimeout = 300 * time.Millisecond // for all probes together
 	// An exiting process closes its sockets one by one, within milliseconds, so the upstream is probed several times.
 	maxProbes     = 3
@@ -37,7 +40,8 @@
 	return false
 }
 
-// processGone reports whether the upstream refuses connections, or responds as another incarnation.
+// processGone reports whether the upstream refuses connections, or responds as another incarnation. A response that names no incarnation, or
+// several, tells nothing.
 func (d *Dispatcher) processGone(ctx context.Context, u *roster.Upstream) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+"/health", nil)
 	if err != nil {
@@ -48,7 +52,12 @@
 		return dialFailed(err)
 	}
 	defer resp.Body.Close()
-	return resp.Header.Get(headerIncarnation) != incarnationOf(u.Announcement)
+	named := resp.Header.Values(headerIncarnation)
+	if len(named) != 1 {
+		return false
+	}
+	n, err := strconv.ParseUint(named[0], 10, 64)
+	return err == nil && n != u.Incarnation
 }
 
 // checkQuarantine returns the refusal of a request that crashed the upstreams that ran it. It is called at the start of a
--- a/internal/services/dispatch/crashed_test.go
+++ b/internal/services/dispatch/crashed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 
@@ -20,6 +21,8 @@
 	"wagtaillift/internal/services/roster"
 )
 
+func incarnationOf(a engine.Announcement) string { return strconv.FormatUint(a.Incarnation, 10) }
+
 // announced returns the roster entry of an upstream announced at address.
 func announced(t *testing.T, address string) *roster.Upstream {
 	r := roster.New("vm1", "a", 1, func() {})
