A load that is no count is not recorded

The load in the head of an engine's answer was recorded as it could be decoded: "null", an error's JSON and objects without the count made the engine look idle, of a count that comes twice the last one held, and counts near the ends of the range overflowed, which made it look full. Announcements had the same range. A load is one object with its count of blocks now, each count from 0 to 2^40; anything else is logged and the last load stays.

--- a/internal/models/engine/engine.go
+++ b/internal/models/engine/engine.go
@@ -61,6 +61,19 @@
 	PendingPrefill int64 `json:"prefill"` // prompt tokens still to process
 }
 
+// maxLoad bounds each count of a Load.
+const maxLoad = 1 << 40
+
+// Check returns an error if l holds what is no count.
+func (l Load) Check() error {
+	for _, n := range []int64{l.Running, l.Queued, l.KVBlocks, l.PendingPrefill} {
+		if n < 0 || n > maxLoad {
+			return errors.NotValidf("load of %d", n)
+		}
+	}
+	return nil
+}
+
 // Bounds of the fields of an announcement, which travels to every VM.
 const (
 	maxFieldBytes = 128
@@ -113,6 +126,11 @@
 	case a.Model != "" && a.Service == "" && a.KVBlocks <= 0:
 		return errors.NotValidf("pieces %d of upstream %q", a.KVBlocks, a.Name)
 	}
+	if a.Load != nil {
+		if err := a.Load.Check(); err != nil {
+			return errors.Annotatef(err, "upstream %q", a.Name)
+		}
+	}
 	return errors.Annotatef(checkAddress(a.Address), "upstream %q", a.Name)
 }
 
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -11,10 +11,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
 
 	"wagtaillift/internal/models/engine"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/jsonfields"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/roster"
 )
@@ -225,8 +227,14 @@
 	if v == "" {
 		return
 	}
-	var l engine.Load
-	if json.Unmarshal([]byte(v), &l) == nil {
-		u.Stats.Report(clock.SinceBoot(), l)
+	l := engine.Load{KVBlocks: -1} // the field must be there
+	err := jsonfields.Decode(strings.NewReader(v), &l)
+	if err == nil {
+		err = l.Check()
 	}
+	if err != nil {
+		klog.V(1).InfoS("Load of an upstream cannot be read", "upstream", u.Name, "text", v[:min(len(v), maxLoggedBytes)], "err", err)
+		return
+	}
+	u.Stats.Report(clock.SinceBoot(), l)
 }
