--- a/internal/modules/upstream/client.go
+++ b/internal/modules/upstream/client.go
@@ -64,7 +64,7 @@
 }
 
 // Probe sends r on a connection of its own, so that its answer cannot be taken for a late answer to an earlier request.
-func (c *Client) Probe(r *http.Request) (*http.Response, error) { return c.probe.Do(r) }
+func (c *Client) Probe(r *http.Request) (*http.Response, error) { return Exchange(c.probe, r) }
 
 // TCPUserTimeout returns a net.Dialer.Control function that sets TCP_USER_TIMEOUT, which limits how long sent bytes may
 // remain unacknowledged.
@@ -99,12 +99,8 @@
 		current.Store(cc)
 	}}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	resp, err = c.http.Do(r)
+	resp, err = Exchange(c.http, r)
 	if err == nil {
-		if err := checkHead(resp); err != nil {
-			resp.Body.Close()
-			return nil, true, err
-		}
 		return resp, true, nil
 	}
 	cc := current.Load()
--- a/internal/modules/upstream/head.go
+++ b/internal/modules/upstream/head.go
@@ -10,6 +10,19 @@
 // errJoinedHeads means that an upstream broke off inside the head of one answer and went on with another answer.
 const errJoinedHeads = errors.ConstError("the head of the answer holds the status line of another one")
 
+// Exchange sends r and returns the answer, whose head is that of one answer.
+func Exchange(c *http.Client, r *http.Request) (*http.Response, error) {
+	resp, err := c.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 // checkHead returns an error if the head of resp holds a second status line. The status would be that of the first answer, and the rest that of
 // the second.
 func checkHead(resp *http.Response) error {
--- a/internal/services/order/sender.go
+++ b/internal/services/order/sender.go
@@ -92,7 +92,7 @@
 	r.GetBody = nil
 	r.Header = header
 	r.Header.Set("Content-Type", "application/json")
-	resp, err := s.client.Do(r)
+	resp, err := upstream.Exchange(s.client, r)
 	if err != nil {
 		return 0, nil, errors.Annotatef(err, "post to %s", url)
 	}
@@ -156,7 +156,7 @@
 		return 0, nil, errors.Annotatef(err, "build request to %s", url)
 	}
 	r.Header = header
-	resp, err := s.client.Do(r)
+	resp, err := upstream.Exchange(s.client, r)
 	if err != nil {
 		return 0, nil, errors.Annotatef(err, "get %s", url)
 	}
@@ -191,7 +191,7 @@
 	if err != nil {
 		return st, errors.Annotatef(err, "build request to %s", address)
 	}
-	resp, err := s.client.Do(r)
+	resp, err := upstream.Exchange(s.client, r)
 	if err != nil {
 		return st, errors.Annotatef(err, "read state of upstream %s", address)
 	}
