--- a/internal/modules/jsonfields/decode.go
+++ b/internal/modules/jsonfields/decode.go
@@ -27,37 +27,16 @@
 
 // checkNames returns an error if data is not one object whose names differ. Names are compared as encoding/json does.
 func checkNames(data []byte) error {
-	s := New(data)
-	var names []string
-	for {
-		raw, _, more := s.Next()
-		if !more {
-			break
-		}
-		var name string
-		if err := json.Unmarshal([]byte(`"`+string(raw)+`"`), &name); err != nil {
-			return err
-		}
-		for _, n := range names {
-			if strings.EqualFold(n, name) {
-				return errors.NotValidf("field %q, which comes twice,", name)
+	list, err := Fields(data)
+	if err != nil {
+		return err
+	}
+	for i, f := range list {
+		for _, other := range list[:i] {
+			if strings.EqualFold(f.Name, other.Name) {
+				return errors.NotValidf("field %q, which comes twice,", f.Name)
 			}
 		}
-		names = append(names, name)
-	}
-	if !s.Valid() {
-		return errors.NotValidf("JSON that is no object or nested too deeply")
 	}
 	return nil
 }
-
-// End returns an error if anything but white space follows the value that dec has decoded.
-func End(dec *json.Decoder) error {
-	switch _, err := dec.Token(); {
-	case errors.Is(err, io.EOF):
-		return nil
-	case err != nil:
-		return errors.Annotate(err, "after the JSON value")
-	}
-	return errors.NotValidf("text after the JSON value")
-}
--- a/internal/services/dispatch/event.go
+++ b/internal/services/dispatch/event.go
@@ -6,12 +6,13 @@
 	"unicode/utf8"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fastjson"
 
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/jsonfields"
 )
 
-// Reasons why an event of a stream is not sound.
+// Reasons why an event of a stream is invalid.
 const (
 	errForeignLine   = errors.ConstError("a line that is no field of an event")
 	errForeignBytes  = errors.ConstError("bytes that are no text")
@@ -138,41 +139,45 @@
 	return nil
 }
 
-// isChunk reports whether data is an OpenAI-style chunk: a JSON object with one list of choices.
+// isChunk reports whether data is an OpenAI-style chunk: a JSON object with a list of choices.
 func isChunk(data []byte) bool {
-	lists := 0
-	s := jsonfields.New(data)
+	return bytes.HasPrefix(data, []byte("{")) && hasChoices(data) && fastjson.ValidateBytes(data) == nil
+}
+
+// hasChoices reports whether a field of that name holds a list. It does not decode data, which would cost more than passing it on.
+func hasChoices(data []byte) bool {
 	for {
-		name, value, more := s.Next()
-		if !more {
-			return s.Valid() && lists == 1
+		_, after, ok := bytes.Cut(data, []byte(`"choices"`))
+		if !ok {
+			return false
 		}
-		if string(name) == "choices" {
-			if value[0] != '[' {
-				return false
-			}
-			lists++
+		if v, ok := bytes.CutPrefix(bytes.TrimLeft(after, " "), []byte(":")); ok {
+			return bytes.HasPrefix(bytes.TrimLeft(v, " "), []byte("["))
 		}
+		data = after // the name stood in a value
 	}
 }
 
+// endFields is the number of fields of a StreamEnd.
+const endFields = 3
+
 // parseEnd returns the content of the event that ends a stream of the given number of tokens. Each field must be there once, and no other.
 func parseEnd(data []byte, tokens id.Tokens) (end StreamEnd, err error) {
+	list, err := jsonfields.Fields(data)
+	if err != nil || len(list) != endFields {
+		return end, errBadEnd
+	}
 	seen := map[string]bool{}
-	s := jsonfields.New(data)
-	for {
-		name, value, more := s.Next()
-		switch {
-		case more && !seen[string(name)] && end.parseField(string(name), value):
-			seen[string(name)] = true
-		case more || !s.Valid() || len(seen) != 3:
+	for _, f := range list {
+		if seen[f.Name] || !end.parseField(f.Name, f.Value) {
 			return end, errBadEnd
-		case end.OutputTokens != tokens:
-			return end, errors.Annotatef(errTokenOrder, "end after %d tokens", end.OutputTokens)
-		default:
-			return end, nil
 		}
+		seen[f.Name] = true
+	}
+	if end.OutputTokens != tokens {
+		return end, errors.Annotatef(errTokenOrder, "end after %d tokens", end.OutputTokens)
 	}
+	return end, nil
 }
 
 func (f *StreamEnd) parseField(name string, value []byte) (ok bool) {
--- a/internal/services/dispatch/relay.go
+++ b/internal/services/dispatch/relay.go
@@ -89,8 +89,8 @@
 	return &streamBuffer{reader: bufio.NewReaderSize(nil, maxLineBytes), data: make([]byte, 0, maxLineBytes)}
 }}
 
-// relay passes the events of body to out until the end event. An event goes to out once its blank line has arrived and it is sound; one
-// that is not sound ends the stream.
+// relay passes the events of body to out until the end event. An event goes to out once its blank line has arrived and it is valid; one
+// that is invalid ends the stream.
 func relay(body io.Reader, want id.Request, out Sink, pr *progress, p *latencyTracker, silence *silenceTimer) error {
 	buf := streamBuffers.Get().(*streamBuffer)
 	defer streamBuffers.Put(buf)
@@ -109,7 +109,7 @@
 		}
 		done, err := ev.addLine(line)
 		if err != nil {
-			return pr.unsound(err, line)
+			return pr.invalid(err, line)
 		}
 		if !done {
 			continue
@@ -136,21 +136,23 @@
 	return err
 }
 
-const maxLoggedBytes = 96 // of what is not sound in a stream
+const maxLoggedBytes = 96 // of text of an upstream that cannot be read
 
-// unsound counts a stream that is not sound after the tokens delivered so far, and annotates err with what was found.
-func (pr *progress) unsound(err error, found []byte) error {
-	metrics.GetOrCreateCounter("wagtaillift_unsound_streams_total").Inc()
-	return errors.Annotatef(err, "after token %d: %q", pr.tokens, found[:min(len(found), maxLoggedBytes)])
+// invalid counts a stream that is invalid after the tokens delivered so far, and annotates its reason. What was found is logged only: it may
+// be a customer's.
+func (pr *progress) invalid(reason error, found []byte) error {
+	metrics.GetOrCreateCounter(`wagtaillift_invalid_streams_total{reason="` + errors.Cause(reason).Error() + `"}`).Inc()
+	klog.V(1).InfoS("Invalid event", "begin", string(found[:min(len(found), maxLoggedBytes)]), "err", reason)
+	return errors.Annotatef(reason, "after token %d", pr.tokens)
 }
 
-// deliver passes a complete event to out if it is sound; done is true after the end event.
+// deliver passes a complete event to out if it is valid; done is true after the end event.
 func (ev *event) deliver(out Sink, pr *progress) (done bool, err error) {
 	if ev.empty() {
 		return false, nil
 	}
 	if err := ev.check(pr.tokens); err != nil {
-		return false, pr.unsound(err, ev.data)
+		return false, pr.invalid(err, ev.data)
 	}
 	if ev.isEnd {
 		return true, ev.deliverEnd(out, pr)
@@ -170,7 +172,7 @@
 func (ev *event) deliverEnd(out Sink, pr *progress) error {
 	end, err := parseEnd(ev.data, pr.tokens)
 	if err != nil {
-		return pr.unsound(err, ev.data)
+		return pr.invalid(err, ev.data)
 	}
 	pr.final = &end
 	return callerError{out.End(end)}.orNil()
