A stopping VM begins no request that it can't answer in time

The process was killed.

Cause: whether a VM is stopping was looked at once, as a request's head came, before its body was read and before the waits for a lease, a grant and a slot; nothing compared a request's time with what is left. At the end nothing ended the handlers: requests ran on through the wait for the control VMs (up to stop.leave) and up to 2 s of closing, then their connections were closed bare, or the process was killed: lead, limit, leave and the closing of the deployed settings add up to 9.5 s of 8, and were fixed figures instead of following from the grace.

Now shutdown.Plan holds the moments of a stop, all within the grace (stop.grace, rendered from the platform's bound). Before a first attempt, and again right before its write, shutdown.Gate compares the request's deadline with the end of the plan: what is answered by then in any case may begin; what may be repeated also while callers are still sent here; the rest gets a 503 as not run. What has begun goes on, retries and resumptions too. Running requests have until grace - grace/20 (7.6 s of 8; limit was 6.6 s); the VM leaves the fleet beside the last of them, so that control VMs that don't answer cost them nothing. At the end they are ended by their context: 504 where the outcome is unknown, 503 where nothing was sent or the body is incomplete, a cut stream where events were passed on; the process ends by itself before it is killed.

Held before and now: a stop during the start, a second SIGTERM and SIGHUP (TestHangupDuringStopCutsNoRequest). Without the gate's line in Forwarder.mayBegin TestLateBodiesOfAStopAreNotLost fails: seven streams cut, six once-only requests with a 504. Ruled out by reading: connections relayed for other VMs (one request each, new ones are declined), kept connections (refused once stopping; an idle one that is closed has not been read).

Tests that failed before: TestLateBodiesOfAStopAreNotLost, TestRequestsAtTheEndOfAStopAreAnswered. TestStopDuringStartLosesNoRequest and the tables of services/shutdown are new.

--- a/internal/modules/setting/setting.go
+++ b/internal/modules/setting/setting.go
@@ -98,8 +98,10 @@
 	ElectionTimeout time.Duration `json:"election" range:"100ms..1m"`
 }
 
-// Shutdown holds the durations of the steps of a graceful shutdown.
+// Shutdown holds the durations of the steps of a graceful shutdown. Grace is the time from its start to the end of the process by force;
+// zero if there is none.
 type Shutdown struct {
+	Grace        time.Duration `json:"grace" range:"0s..1h"`
 	RefuseDelay  time.Duration `json:"lead" range:"0s..1m"`
 	DrainTimeout time.Duration `json:"limit" range:"1s..1h"`
 	Leave        time.Duration `json:"leave" range:"100ms..1m"`
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -48,7 +48,7 @@
 	server.forwarder = &forward.Forwarder{
 		Config: a.Config, Guard: a, Limiter: v.limiter, Roster: v.roster,
 		UpstreamClient: &platform.UpstreamClient{Pool: server.pool}, Meter: v.meter, Quarantine: v.quarantineList,
-		Detector: v.detector, Pace: v.pace, Origins: v.buildOrigins(), Zone: a.Zone(), Members: v.entryCount,
+		Detector: v.detector, Pace: v.pace, Gate: &v.gate, Origins: v.buildOrigins(), Zone: a.Zone(), Members: v.entryCount,
 		Window: func(now time.Duration) id.Window {
 			return id.WindowAt(a.FleetTime(now), v.cfg.Billing.Window)
 		},
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -40,20 +40,19 @@
 	"wagtaillift/internal/services/requestlog"
 	"wagtaillift/internal/services/roster"
 	"wagtaillift/internal/services/route"
+	"wagtaillift/internal/services/shutdown"
 	"wagtaillift/internal/services/tunnel"
 )
 
 // Peer methods, timeouts and limits.
 const (
-	methodHoldUsage   = "hold"
-	methodSuspects    = "suspects"
-	methodReserve     = "isolate"
-	reserveTimeout    = 300 * time.Millisecond
-	peerTimeout       = time.Second
-	drainPollInterval = 20 * time.Millisecond
-	closeTimeout      = 2 * time.Second
-	rebuildPause      = 100 * time.Microsecond // for each upstream; 56 ms for 560
-	minDemandRate     = 0.01                   // tokens per second; customers with less demand are left out of reports
+	methodHoldUsage = "hold"
+	methodSuspects  = "suspects"
+	methodReserve   = "isolate"
+	reserveTimeout  = 300 * time.Millisecond
+	peerTimeout     = time.Second
+	rebuildPause    = 100 * time.Microsecond // for each upstream; 56 ms for 560
+	minDemandRate   = 0.01                   // tokens per second; customers with less demand are left out of reports
 )
 
 // VM holds the services and listeners of one VM process.
@@ -78,6 +77,9 @@
 	detector       *quarantine.Detector
 	orders         *order.Service
 	memory         memory.Budget
+	gate           shutdown.Gate
+	requests       context.Context // of all callers' requests
+	endRequests    context.CancelCauseFunc
 	stopping       atomic.Bool
 	unhealthy      atomic.Bool
 	servers        []*http.Server
@@ -94,6 +96,7 @@
 		cfg: cfg, limiter: &limit.Limiter{}, burn: &burn.Meter{}, requestlog: &requestlog.Journal{},
 		quarantineList: &quarantine.List{}, pace: &pace.Table{},
 	}
+	v.requests, v.endRequests = context.WithCancelCause(context.Background())
 	if v.transport, err = peer.New(cfg.Listen.Peer, store); err != nil {
 		return nil, err
 	}
@@ -395,6 +398,7 @@
 		pause.Every(serveCtx, quarantine.CheckInterval, func() { v.detector.Check(clock.SinceBoot()) })
 	})
 	start(func() { v.runPlatform(serveCtx) })
+	v.servers[endpointCaller].BaseContext = func(net.Listener) context.Context { return v.requests }
 	for i, s := range v.servers {
 		if v.listeners[i] == nil {
 			continue
@@ -407,49 +411,22 @@
 	}
 	klog.InfoS("VM started", "vm", v.cfg.VM, "zone", v.cfg.Zone, "caller", v.cfg.Listen.Caller, "peer", v.cfg.PeerAddress())
 	var err error
+	closing := context.Background()
 	select {
 	case <-ctx.Done():
-		v.drain()
+		p := shutdown.NewPlan(time.Now(), v.cfg.Shutdown)
+		var exit context.CancelFunc
+		closing, exit = context.WithDeadline(closing, p.Exit)
+		defer exit()
+		v.drain(closing, &p)
 	case err = <-failures:
 	}
 	cancel()
-	v.close()
+	v.close(closing)
 	wg.Wait()
 	return err
 }
 
-// drain fails the health check, hands the exclusive leases over, refuses new requests after RefuseDelay, waits up to DrainTimeout for the running ones, and then
-// commits the remaining usage and leaves the fleet.
-func (v *VM) drain() {
-	v.unhealthy.Store(true)
-	klog.InfoS("VM stopping", "vm", v.cfg.VM, "running", v.runningRequests())
-	stopped, cancelHandOver := context.WithCancel(context.Background())
-	defer cancelHandOver()
-	go v.orders.HandOver(stopped)
-	time.Sleep(v.cfg.Shutdown.RefuseDelay)
-	v.stopping.Store(true)
-	v.servers[endpointCaller].SetKeepAlivesEnabled(false) // closes the connections that were idle all the while
-	end := time.Now().Add(v.cfg.Shutdown.DrainTimeout)
-	for v.runningRequests() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
-	}
-	klog.InfoS("VM drained", "vm", v.cfg.VM, "running", v.runningRequests())
-	ctx, cancel := context.WithTimeout(context.Background(), v.cfg.Shutdown.Leave)
-	defer cancel()
-	v.authority.FlushUsage(ctx)
-	v.authority.Leave(ctx)
-}
-
-func (v *VM) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	for _, s := range v.servers {
-		s.Shutdown(ctx)
-		s.Close()
-	}
-	v.transport.Close()
-}
-
 // Reload applies the seeds of the new settings. Other settings take effect after a restart.
 func (v *VM) Reload(cfg setting.Config) {
 	v.authority.SetSeeds(cfg.SeedPeers())
--- a/internal/services/forward/attempt.go
+++ b/internal/services/forward/attempt.go
@@ -16,6 +16,7 @@
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/roster"
+	"wagtaillift/internal/services/shutdown"
 )
 
 const (
@@ -135,12 +136,16 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotAllowed):
 		return errConfigChanged
-	case parent.Err() != nil:
+	case parent.Err() != nil && !errors.Is(context.Cause(parent), shutdown.ErrEnded):
 		return ErrCallerGone
 	case p.answerBegun:
 		return ErrTruncated
 	case p.failedAnswer != nil:
 		return f.deliver(out, p.failedAnswer)
+	case parent.Err() != nil && !sent:
+		return refuseStopping()
+	case parent.Err() != nil:
+		return failedRefusal(http.StatusGatewayTimeout, call.Stopping, true, "this VM stops before the answer", err)
 	case ctx.Err() != nil:
 		return failedRefusal(http.StatusGatewayTimeout, call.Deadline, sent, "the time is over", err)
 	}
--- a/internal/services/forward/forward.go
+++ b/internal/services/forward/forward.go
@@ -26,13 +26,15 @@
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/retry"
 	"wagtaillift/internal/services/roster"
+	"wagtaillift/internal/services/shutdown"
 )
 
 const (
 	step               = "forward" // pipeline step named in refusals
 	maxDecisions       = 3         // decisions for one request if the configuration changes before it is sent
 	shortRetryAfter    = 200 * time.Millisecond
-	rateWaitDivisor    = 10                     // a request waits at most objective/rateWaitDivisor for its customer's rate, because a later refusal would come too late
+	rateWaitDivisor    = 10 // a request waits at most objective/rateWaitDivisor for its customer's rate, because a later refusal would come too late
+	stoppingRetryAfter = 100 * time.Millisecond
 	notReadyRetryAfter = 500 * time.Millisecond // a VM without configuration or lease usually has them again after this time
 )
 
@@ -70,6 +72,8 @@
 	Members        func() int // number of VMs that send requests to upstreams
 	Retries        Retries
 	EventFormat    EventFormat // of the answers on routes for streams
+	// Gate holds requests back that a VM which is stopping can't answer any more. Nil lets all of them through.
+	Gate *shutdown.Gate
 	// Orders returns the last order of every upstream. An upstream that is changing its role gets no new requests.
 	Orders func() map[id.Upstream]order.Order
 
@@ -141,6 +145,9 @@
 	if c.CallerTimeout > 0 && c.CallerTimeout < c.route.Timeout {
 		c.deadline = c.Start.Add(c.CallerTimeout)
 	}
+	if !f.mayBegin(c) {
+		return refuseStopping()
+	}
 	if wait, refused := f.quarantined(c); refused {
 		f.logQuarantined(c, wait)
 		return refuse(http.StatusServiceUnavailable, call.Quarantined, "this request crashed the upstreams that ran it").WithRetryAfter(wait)
@@ -177,6 +184,15 @@
 	return refuse(http.StatusServiceUnavailable, call.NoLease, "this VM is cut off from the configuration").WithRetryAfter(notReadyRetryAfter)
 }
 
+// mayBegin reports whether c may still be sent to an upstream if this VM is stopping.
+func (f *Forwarder) mayBegin(c *Call) bool {
+	return f.Gate.MayBegin(time.Now(), shutdown.Request{Deadline: c.deadline, Repeatable: c.repeatable(), Begun: c.sent})
+}
+
+func refuseStopping() *call.Refusal {
+	return refuse(http.StatusServiceUnavailable, call.Stopping, "this VM is stopping").WithRetryAfter(stoppingRetryAfter)
+}
+
 func refuse(status int, code call.Code, reason string) *call.Refusal {
 	return call.Refuse(status, code, step, "%s", reason)
 }
@@ -184,7 +200,7 @@
 // stillAllowed reports whether the decision for c still holds. It is called right before c is sent, because c may have
 // waited or the process may have been suspended since the decision.
 func (f *Forwarder) stillAllowed(c *Call) bool {
-	if !f.Guard.Leased(clock.SinceBoot(), 0) {
+	if !f.Guard.Leased(clock.SinceBoot(), 0) || !f.mayBegin(c) {
 		return false
 	}
 	if _, refused := f.quarantined(c); refused {
