Calls on the OpenAI-style face begin and end with a stop's plan too

The client of the end of a stop would also have been taken for a caller that has gone (499).

Now the dispatcher asks the gate after it has an upstream and before each attempt; a claimed call that is held back is settled as not run. At the end of the plan a body that is still coming gets a 503 as not run, also one that is passed on while it comes ends its wait; a call that was sent gets 504 with run unknown and code stopping, a stream that has begun its error event and no [DONE].

Open: a claimed call that ends at the very end waits up to 1 s for its outcome to be committed before it is answered; without control VMs that is longer than the reserve of a short grace.

--- a/internal/routers/caller/caller.go
+++ b/internal/routers/caller/caller.go
@@ -101,6 +101,10 @@
 			c.Path = "/" + strings.TrimPrefix(r.URL.EscapedPath(), "/s/"+r.PathValue("service")+"/")
 		}
 		w.Header().Set(headerRequest, string(c.ID))
+		if r.ContentLength != 0 {
+			rc := http.NewResponseController(w)
+			defer context.AfterFunc(r.Context(), func() { rc.SetReadDeadline(time.Now()) })() // at the end of a shutdown
+		}
 		resp := &modelResponse{h: h, c: c}
 		err := h.handle(c, resp)
 		resp.settleUsage()
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -259,7 +259,7 @@
 	a := v.authority
 	d := &dispatch.Dispatcher{
 		Roster: v.roster, Client: upstream.New(&v.dialer), Quarantine: v.quarantineList, Detector: v.detector, Pace: v.pace,
-		ReserveOnPeers: v.reserveUpstream,
+		ReserveOnPeers: v.reserveUpstream, Gate: &v.gate,
 	}
 	if v.cfg.Route.Policy == "naive" {
 		d.Pick = route.PickFewestRequests
--- a/internal/services/dispatch/dispatch.go
+++ b/internal/services/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"wagtaillift/internal/services/retry"
 	"wagtaillift/internal/services/roster"
 	"wagtaillift/internal/services/route"
+	"wagtaillift/internal/services/shutdown"
 )
 
 const (
@@ -50,6 +51,8 @@
 	// ReserveOnPeers reserves an upstream for one suspect on the other VMs of the data centre, or releases it if reserve is false.
 	// It returns false if the upstream is reserved for another suspect. Nil skips the other VMs.
 	ReserveOnPeers func(u id.Upstream, p quarantine.Fingerprint, reserve bool) bool
+	// Gate holds calls back that a VM which is stopping can't answer any more. Nil lets all of them through.
+	Gate *shutdown.Gate
 	// Pick chooses the upstream; nil selects route.Pick.
 	Pick func(now time.Duration, list []*roster.Upstream, q *route.Query) route.Choice
 
@@ -109,6 +112,18 @@
 	return ch, release, nil
 }
 
+// checkStopping returns a refusal if this VM is stopping and c may not be sent to an upstream any more.
+func (d *Dispatcher) checkStopping(c *call.Call, pr *progress) error {
+	if d.Gate.MayBegin(time.Now(), shutdown.Request{Deadline: c.Deadline, Repeatable: c.Idempotent, Begun: pr.sent}) {
+		return nil
+	}
+	return refuseStopping()
+}
+
+func refuseStopping() *call.Refusal {
+	return call.Refuse(http.StatusServiceUnavailable, call.Stopping, step, "this VM is stopping").WithRetryAfter(retryAfter)
+}
+
 // pickRefusal returns the refusal for a call that got no upstream.
 func pickRefusal(c *call.Call, ch route.Choice, wait time.Duration) error {
 	if ch.Rule == route.Full {
--- a/internal/services/dispatch/model.go
+++ b/internal/services/dispatch/model.go
@@ -17,6 +17,7 @@
 	"wagtaillift/internal/services/quarantine"
 	"wagtaillift/internal/services/roster"
 	"wagtaillift/internal/services/route"
+	"wagtaillift/internal/services/shutdown"
 )
 
 // progress is the state of a response over all attempts of a call.
@@ -84,7 +85,12 @@
 // contextRefusal returns the refusal for a call whose caller disconnected or whose deadline passed.
 func contextRefusal(c *call.Call, pr *progress) error {
 	run := call.RunIfSent(pr.sent)
-	if c.R.Context().Err() != nil {
+	switch ended := errors.Is(context.Cause(c.R.Context()), shutdown.ErrEnded); {
+	case ended && !pr.sent:
+		return refuseStopping()
+	case ended:
+		return &call.Refusal{Status: http.StatusGatewayTimeout, Code: call.Stopping, Run: run, Step: step, Reason: "this VM stops before the answer"}
+	case c.R.Context().Err() != nil:
 		return &call.Refusal{Status: statusClientClosedRequest, Code: call.UpstreamFailed, Run: run, Step: step, Reason: "the caller has gone"}
 	}
 	return &call.Refusal{
@@ -128,6 +134,9 @@
 	if err := d.checkQuarantine(c, p); err != nil {
 		return err
 	}
+	if err := d.checkStopping(c, pr); err != nil {
+		return err
+	}
 	tried[u.Name], pr.sentAt = true, clock.SinceBoot()
 	pr.attempts++
 	err = d.stream(ctx, c, u, out, pr, tried)
--- a/internal/services/dispatch/plain.go
+++ b/internal/services/dispatch/plain.go
@@ -101,6 +101,9 @@
 	if err := d.checkQuarantine(c, p); err != nil {
 		return nil, false, err
 	}
+	if err := d.checkStopping(c, pr); err != nil {
+		return nil, false, err
+	}
 	tried[u.Name], pr.sentAt = true, clock.SinceBoot()
 	a, sent, err := d.roundTrip(ctx, c, u, pr)
 	pr.sent, pr.now = pr.sent || sent, sent
--- a/internal/services/pipeline/pipeline.go
+++ b/internal/services/pipeline/pipeline.go
@@ -24,6 +24,7 @@
 	"wagtaillift/internal/modules/memory"
 	"wagtaillift/internal/services/call"
 	"wagtaillift/internal/services/quarantine"
+	"wagtaillift/internal/services/shutdown"
 )
 
 // Filter processes one aspect of a call. An error ends the processing of the call.
@@ -163,6 +164,8 @@
 		return nil, call.Refuse(http.StatusServiceUnavailable, call.NoMemory, "classify", "this VM has no memory left for the body").WithRetryAfter(noMemoryRetryAfter)
 	case errors.Is(err, memory.ErrTooLarge):
 		return nil, call.Refuse(http.StatusRequestEntityTooLarge, call.BodyTooLarge, "classify", "the body is larger than %d bytes", maxBody)
+	case err != nil && errors.Is(context.Cause(c.R.Context()), shutdown.ErrEnded):
+		return nil, call.Refuse(http.StatusServiceUnavailable, call.Stopping, "classify", "this VM is stopping").WithRetryAfter(time.Second)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, call.Refuse(http.StatusRequestTimeout, call.BodyTimeout, "classify", "the body did not arrive within %s", b.ReadTimeout)
 	case err != nil:
