--- a/internal/services/authority/full_disk_test.go
+++ b/internal/services/authority/full_disk_test.go
@@ -148,8 +148,10 @@
 	}
 	opt.Transport = g.transport(n.name, n.address, opt.Zone)
 	defer opt.Transport.Close()
-	n.address = opt.Transport.Address()
-	opt.Peer = n.address
+	opt.Peer = opt.Transport.Address()
+	g.mu.Lock()
+	n.address = opt.Peer
+	g.mu.Unlock()
 	a, err := New(opt)
 	if err != nil {
 		return err
