Review: a successor that has caught up doesn't vote in time after the loss of a leader

Cause: a lost control VM stays a voter until its VM lease has ended, counted anew by a new leader, and data.spare has passed; its successor stays a learner until then. A second loss after catch_up_s leaves one of three voters for good.

--- a/review/cases2/fleet.go
+++ b/review/cases2/fleet.go
@@ -47,6 +47,19 @@
 
 type ports struct{ front, ready, control, peer, metrics int }
 
+// runs reports whether the process of m has started and not ended.
+func (m *machine) runs() bool {
+	if m.exited == nil {
+		return false
+	}
+	select {
+	case <-m.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // newFleet chooses free loopback addresses for controls and fronts.
 func newFleet(record io.Writer, controls, fronts int) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "review-")
@@ -61,21 +74,31 @@
 	if err := f.chooseAddresses(); err != nil {
 		return nil, err
 	}
-	add := func(kind string, i int, control bool) {
-		m := &machine{name: fmt.Sprintf("%s-%s-%d", kind, zoneNames[i%len(zoneNames)], i/len(zoneNames)+1), zone: zoneNames[i%len(zoneNames)], control: control}
-		m.ip = fmt.Sprintf("%s.%d", f.prefix, len(f.machines)+10)
-		m.folder = filepath.Join(folder, m.name)
-		f.machines = append(f.machines, m)
-	}
-	for i := range controls {
-		add("core", i, true)
+	for range controls {
+		f.add("core", true)
 	}
-	for i := range fronts {
-		add("frontend", i, false)
+	for range fronts {
+		f.add("frontend", false)
 	}
 	return f, nil
 }
 
+// add adds a machine, which is not started, in the next zone.
+func (f *fleet) add(kind string, control bool) *machine {
+	i := 0
+	for _, m := range f.machines {
+		if m.control == control {
+			i++
+		}
+	}
+	zone := zoneNames[i%len(zoneNames)]
+	m := &machine{name: fmt.Sprintf("%s-%s-%d", kind, zone, i/len(zoneNames)+1), zone: zone, control: control}
+	m.ip = fmt.Sprintf("%s.%d", f.prefix, len(f.machines)+10)
+	m.folder = filepath.Join(f.folder, m.name)
+	f.machines = append(f.machines, m)
+	return m
+}
+
 // chooseAddresses takes a part of 127.0.0.0/8 and ports that are free there.
 func (f *fleet) chooseAddresses() error {
 	for range 100 {
@@ -130,7 +153,7 @@
 func (f *fleet) settings(m *machine, first bool) ([]byte, error) {
 	var seeds []string
 	for _, c := range f.controls() {
-		if len(seeds) < 3 {
+		if len(seeds) < 3 && (first || c.runs()) {
 			seeds = append(seeds, f.address(c, f.ports.control))
 		}
 	}
@@ -352,6 +375,16 @@
 	}
 }
 
+func versionOf(body []byte) int {
+	var n struct {
+		Version int `json:"version"`
+	}
+	if err := json.Unmarshal(body, &n); err != nil {
+		return 0
+	}
+	return n.Version
+}
+
 // answer writes a success as an engine does.
 func answer(w http.ResponseWriter, r *http.Request, body string) {
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -15,7 +15,9 @@
 
 // cases are the scripts by name. They return whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"departure": departure,
+	"departure":             departure,
+	"planned-replacement":   plannedReplacement,
+	"unplanned-replacement": unplannedReplacement,
 }
 
 func main() { os.Exit(run()) }
