--- a/review/cases2/fleet.go
+++ b/review/cases2/fleet.go
@@ -243,16 +243,6 @@
 	}
 }
 
-// startAll starts all machines for the first time.
-func (f *fleet) startAll() error {
-	for _, m := range f.machines {
-		if err := f.startMachine(m, true); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // operatorClient sends each call on a channel of its own.
 var operatorClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 
