Control VMs read what operators and upstreams send within the memory budget

Cause: platform/control.go read each configuration, up to 16 MB, and each heartbeat with io.ReadAll, outside the budget of modules/memory, and noticed a length over the limit only by reading up to it. Ruled out: the budget itself, which bounds the same bodies at callers.

Change: room is taken before the bytes are read (use "document"); without room 503 with Retry-After, which operators and upstreams repeat; over the limit 413, by its length at once. One configuration at a time is decoded, as that takes several times its size.

TestBudgetAgainstModel compares each use in place of the sum of two.

--- a/internal/modules/memory/budget.go
+++ b/internal/modules/memory/budget.go
@@ -26,16 +26,17 @@
 
 // The uses.
 const (
-	Body   Use = iota // bodies of requests, while they are read, sent and kept for another attempt
-	Answer            // answers of upstreams, until they are passed on
+	Body     Use = iota // bodies of requests, while they are read, sent and kept for another attempt
+	Answer              // answers of upstreams, until they are passed on
+	Document            // what operators and upstreams send
 	uses
 )
 
 // Uses returns all uses.
-func Uses() []Use { return []Use{Body, Answer} }
+func Uses() []Use { return []Use{Body, Answer, Document} }
 
 // String returns the use, as in metrics.
-func (u Use) String() string { return [...]string{"body", "answer"}[u] }
+func (u Use) String() string { return [...]string{"body", "answer", "document"}[u] }
 
 // Budget bounds the bytes that all requests hold together. Part of it is kept for small requests, and large ones of one customer leave room
 // for those of others. It takes no locks. The zero value counts and sets no bound.
--- a/internal/modules/memory/budget_test.go
+++ b/internal/modules/memory/budget_test.go
@@ -93,7 +93,9 @@
 					holds = append(holds[:i], holds[i+1:]...)
 				}
 			}
-			require.Equal(t, sum(m.n, all), b.Held(Body)+b.Held(Answer))
+			for _, u := range Uses() {
+				require.Equal(t, sum(m.n, func(h *Hold) bool { return h.Use == u }), b.Held(u), u)
+			}
 			require.Equal(t, sum(m.n, all), b.total.Load())
 			require.Equal(t, sum(m.large, all), b.large.Load())
 			require.LessOrEqual(t, b.total.Load(), m.limit)
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -62,7 +62,7 @@
 		Config: a.Config, Forwarder: server.forwarder, Stopping: &v.stopping, RecordOutcome: countRequest, Memory: &v.memory,
 	}
 	server.control = &platform.Control{
-		ControlPlane: a, Roster: v.roster, Ready: v.ready, BroadcastAndWait: v.gossip.BroadcastAndWait,
+		ControlPlane: a, Roster: v.roster, Ready: v.ready, BroadcastAndWait: v.gossip.BroadcastAndWait, Memory: &v.memory,
 	}
 	server.control.Register()
 	server.loadsync = &loadsync.Exchange{VM: a.VM(), Epoch: uint64(inc), Transport: v.transport, Members: a.State().Members}
