Connections of clients are bounded, and those that wait longest are closed for new ones

Bodies that stop short stayed open for good at all addresses but the callers', and the budget turned everybody away while a crowd held it.

Cause: nothing counted open connections, neither in descriptors nor in memory, and nothing ended those that wait for their client: net/http has a time for heads only, and reads up to 256 KB of a body that no handler wants without any.

Change: modules/inbound accepts the connections of all TCP addresses. Each is counted in the descriptors of its address (setting "descriptors") and takes room in modules/memory, with what its header has beyond 2 KB. When these run short, chooseStalled, a pure function, picks whom to close: those without progress for caller.quiet on which no request has been read, and those without progress of a body or answer for caller.stall, the longest first; those between two requests last; never one whose request runs. A body that finds no room waits up to 100 ms for what is reclaimed. A body must arrive within caller.slow at each address; bodies of plain calls that are streamed keep the call's deadline alone. Idle connections end after caller.idle or the configuration's time, answers that nobody reads after caller.unread.

--- a/internal/modules/memory/budget.go
+++ b/internal/modules/memory/budget.go
@@ -2,7 +2,9 @@
 package memory
 
 import (
+	"math"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -14,8 +16,9 @@
 const SmallBytes = 64 << 10
 
 const (
-	smallDivisor = 4 // limit/smallDivisor is kept for small requests
-	shareFactor  = 4 // a customer's large requests hold at most shareFactor times what is left for others
+	smallDivisor      = 4 // limit/smallDivisor is kept for small requests
+	connectionDivisor = 2 // connections hold at most limit/connectionDivisor
+	shareFactor       = 4 // a customer's large requests hold at most shareFactor times what is left for others
 )
 
 // ErrNoRoom means that the budget has no room for a request.
@@ -26,21 +29,25 @@
 
 // The uses.
 const (
-	Body     Use = iota // bodies of requests, while they are read, sent and kept for another attempt
-	Answer              // answers of upstreams, until they are passed on
-	Document            // what operators and upstreams send
+	Body       Use = iota // bodies of requests, while they are read, sent and kept for another attempt
+	Answer                // answers of upstreams, until they are passed on
+	Document              // what operators and upstreams send
+	Connection            // connections of clients, and headers
 	uses
 )
 
 // Uses returns all uses.
-func Uses() []Use { return []Use{Body, Answer, Document} }
+func Uses() []Use { return []Use{Body, Answer, Document, Connection} }
 
 // String returns the use, as in metrics.
-func (u Use) String() string { return [...]string{"body", "answer", "document"}[u] }
+func (u Use) String() string { return [...]string{"body", "answer", "document", "connection"}[u] }
 
 // Budget bounds the bytes that all requests hold together. Part of it is kept for small requests, and large ones of one customer leave room
 // for those of others. It takes no locks. The zero value counts and sets no bound.
 type Budget struct {
+	// Reclaim makes others give so many bytes back soon, and reports whether there are any. It must be set before the first call.
+	Reclaim func(bytes int64) bool
+
 	limit     atomic.Int64 // zero sets no bound
 	total     atomic.Int64
 	large     atomic.Int64 // part of total that large requests hold
@@ -108,27 +115,64 @@
 
 // Take takes room for n more bytes. It reports whether there was any.
 func (h *Hold) Take(n int64) bool {
-	b := h.Budget
-	if b == nil {
+	if h.Budget == nil || h.take(n) {
 		return true
 	}
+	h.Budget.rejected[h.Use].Add(1)
+	return false
+}
+
+func (h *Hold) take(n int64) bool {
+	b := h.Budget
 	limit := b.Limit()
+	useLimit := limit
+	if h.Use == Connection {
+		useLimit /= connectionDivisor
+	}
 	if limit == 0 {
-		b.total.Add(n)
-	} else if !take(&b.total, n, limit) {
-		b.rejected[h.Use].Add(1)
+		limit, useLimit = math.MaxInt64, math.MaxInt64
+	}
+	if !take(&b.total, n, limit) {
+		return false
+	}
+	if !take(&b.uses[h.Use], n, useLimit) {
+		b.total.Add(-n)
 		return false
 	}
 	if h.n+n > SmallBytes && !h.takeLarge(h.n+n-h.large) {
+		b.uses[h.Use].Add(-n)
 		b.total.Add(-n)
-		b.rejected[h.Use].Add(1)
 		return false
 	}
-	b.uses[h.Use].Add(n)
 	h.n += n
 	return true
 }
 
+const (
+	reclaimPause = 5 * time.Millisecond
+	reclaimTries = 20
+)
+
+// TakeReclaimed takes room as Take does. If there is none, but others can give theirs back, it waits a moment for that.
+func (h *Hold) TakeReclaimed(n int64) bool {
+	if h.Take(n) {
+		return true
+	}
+	if h.Budget.Reclaim == nil || !h.Budget.Reclaim(n) {
+		return false
+	}
+	for range reclaimTries {
+		time.Sleep(reclaimPause)
+		if h.take(n) {
+			return true
+		}
+	}
+	return false
+}
+
+// Held returns the bytes that h has taken.
+func (h *Hold) Held() int64 { return h.n }
+
 func (h *Hold) takeLarge(n int64) bool {
 	share := h.share
 	if share == nil {
--- a/internal/modules/memory/budget_test.go
+++ b/internal/modules/memory/budget_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -41,6 +42,9 @@
 	if sum(m.n, all)+n > m.limit {
 		return false
 	}
+	if h.Use == Connection && sum(m.n, func(g *Hold) bool { return g.Use == Connection })+n > m.limit/2 {
+		return false
+	}
 	if whole := m.n[h] + n; whole > SmallBytes {
 		largeLimit := m.limit - m.limit/4
 		large := sum(m.large, all) - m.large[h] + whole
@@ -232,3 +236,44 @@
 		}
 	})
 }
+
+// A crowd that held all room kept everybody else out, however long it had made no progress.
+func TestRoomIsReclaimed(t *testing.T) {
+	const limit = 4 * SmallBytes
+	for name, c := range map[string]struct {
+		reclaimed bool // others give their room back when they are asked
+		answer    bool // of Reclaim
+		taken     bool
+	}{
+		"given back":         {true, true, true},
+		"nothing to reclaim": {false, false, false},
+		"not given back":     {false, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &Budget{}
+			b.SetLimit(limit)
+			var others []*Hold
+			for range 4 {
+				h := &Hold{Budget: b}
+				require.True(t, h.Take(SmallBytes))
+				others = append(others, h)
+			}
+			b.Reclaim = func(n int64) bool {
+				require.EqualValues(t, SmallBytes, n)
+				if c.reclaimed {
+					time.AfterFunc(time.Millisecond, others[0].Release)
+				}
+				return c.answer
+			}
+			h := &Hold{Budget: b}
+			data, err := ReadAll(h, strings.NewReader(strings.Repeat("x", SmallBytes)), SmallBytes, limit, 1)
+			require.EqualValues(t, 1, b.Rejected(Body))
+			if !c.taken {
+				require.ErrorIs(t, err, ErrNoRoom)
+				return
+			}
+			require.NoError(t, err)
+			require.Len(t, data, SmallBytes)
+		})
+	}
+}
--- a/internal/modules/memory/read.go
+++ b/internal/modules/memory/read.go
@@ -25,13 +25,13 @@
 		return nil, ErrTooLarge
 	}
 	if n < 0 || n > maxAtOnce && h.unbounded() {
-		data, whole, err := readSteps(h, r, copies, firstStep, int(limit)+1)
+		data, whole, err := readSteps(h.TakeReclaimed, h, r, copies, firstStep, int(limit)+1)
 		if err == nil && !whole {
 			err = ErrTooLarge
 		}
 		return data, err
 	}
-	if n > math.MaxInt/copies || !h.Take(n*copies) {
+	if n > math.MaxInt/copies || !h.TakeReclaimed(n*copies) {
 		return nil, ErrNoRoom
 	}
 	data := make([]byte, n)
@@ -41,22 +41,22 @@
 
 // ReadSome returns the bytes of r up to limit, as far as h has room. Whole reports whether r ended there.
 func ReadSome(h *Hold, r io.Reader, limit int) (data []byte, whole bool, err error) {
-	data, whole, err = readSteps(h, r, 1, min(firstSome, limit), limit)
+	data, whole, err = readSteps(h.Take, h, r, 1, min(firstSome, limit), limit)
 	if errors.Is(err, ErrNoRoom) {
 		err = nil
 	}
 	return data, whole, err
 }
 
-// readSteps reads up to limit bytes of unknown number. While a full buffer is copied to the next one, both are held.
-func readSteps(h *Hold, r io.Reader, copies int64, first, limit int) (data []byte, whole bool, err error) {
+// readSteps reads up to limit bytes of unknown number, for which take takes room from h. While a full buffer is copied to the next one, both are held.
+func readSteps(take func(n int64) bool, h *Hold, r io.Reader, copies int64, first, limit int) (data []byte, whole bool, err error) {
 	for {
 		if old := len(data); old == cap(data) {
 			if old == limit {
 				return data, false, nil
 			}
 			size := min(limit, max(first, growFactor*old))
-			if !h.Take(int64(size) * copies) {
+			if !take(int64(size) * copies) {
 				return data, false, ErrNoRoom
 			}
 			data = append(make([]byte, 0, size), data...)
--- a/internal/modules/setting/setting.go
+++ b/internal/modules/setting/setting.go
@@ -24,8 +24,11 @@
 	Lease    Lease    `json:"lease"`
 	Shutdown Shutdown `json:"stop"`
 	MemoryMB int      `json:"memory" range:"0..1048576"`
-	Billing  Billing  `json:"bill"`
-	Log      Log      `json:"log"`
+
+	Descriptors int `json:"descriptors" range:"0..1048576"`
+
+	Billing Billing `json:"bill"`
+	Log     Log     `json:"log"`
 }
 
 // Listen holds the addresses of the listeners, each as host:port.
@@ -57,11 +60,15 @@
 	ReplaceVoterAfter time.Duration `json:"spare" range:"1s..24h"`
 }
 
-// Caller limits the size of callers' requests, in bytes, and the time to receive them.
+// Caller limits the size of requests, in bytes, the time to receive them, and how long clients may keep a connection without progress.
 type Caller struct {
-	Body        int           `json:"body" range:"1024..1073741824"`
-	MaxHeader   int           `json:"header" range:"1024..1048576"`
-	ReadTimeout time.Duration `json:"slow" range:"1s..5m"`
+	Body         int           `json:"body" range:"1024..1073741824"`
+	MaxHeader    int           `json:"header" range:"1024..1048576"`
+	ReadTimeout  time.Duration `json:"slow" range:"1s..5m"`
+	StallTimeout time.Duration `json:"stall" range:"100ms..5m"`
+	QuietTimeout time.Duration `json:"quiet" range:"10ms..5m"`
+	WriteTimeout time.Duration `json:"unread" range:"1s..1h"`
+	IdleTimeout  time.Duration `json:"idle" range:"0s..24h"`
 }
 
 // Route configures how upstreams are selected.
@@ -129,7 +136,7 @@
 		},
 		Peers:    Peers{Cert: "cert", Trust: "fleet"},
 		Data:     Data{Voters: 3, ReplaceVoterAfter: time.Minute},
-		Caller:   Caller{Body: 8 << 20, MaxHeader: 32 << 10, ReadTimeout: 10 * time.Second},
+		Caller:   Caller{Body: 8 << 20, MaxHeader: 32 << 10, ReadTimeout: 10 * time.Second, StallTimeout: 3 * time.Second, QuietTimeout: 500 * time.Millisecond, WriteTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute},
 		Route:    Route{Policy: "fair", Scope: "zone", HeartbeatTimeout: 2 * time.Second, Retries: Retries{Ratio: 0.1, Burst: 20, Window: 10 * time.Second}},
 		Lease:    Lease{VM: 15 * time.Second, ExclusiveRole: 6 * time.Second, ElectionTimeout: time.Second},
 		Shutdown: Shutdown{RefuseDelay: time.Second, DrainTimeout: 2 * time.Minute, Leave: 5 * time.Second},
--- a/internal/routers/vm/memory.go
+++ b/internal/routers/vm/memory.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"io"
 	"runtime/debug"
+	"time"
 
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
+	"wagtaillift/internal/modules/inbound"
 	"wagtaillift/internal/modules/memory"
 )
 
@@ -16,6 +19,7 @@
 	vmMemory            = 48 * megabyte // what a VM needs itself
 	minHeapDivisor      = 4             // of a small soft limit, limit/minHeapDivisor is for requests and garbage
 	requestFraction     = 2.0 / 3       // of what the VM does not need; the rest is for garbage
+	maxDescriptors      = 1 << 20       // if the process has no lower limit
 )
 
 // limitMemory sets Go's soft memory limit and the budget of requests, if the settings name the memory of the VM.
@@ -29,6 +33,33 @@
 	klog.InfoS("Memory limited", "memory", v.cfg.MemoryMB, "soft", soft, "requests", requests)
 }
 
+// limitConnections prepares the table of clients' connections and returns the descriptors that the process may open.
+func (v *VM) limitConnections() int {
+	limits := v.cfg.Caller
+	v.inbound.Memory, v.inbound.Patience = &v.memory, inbound.Patience{Unread: limits.QuietTimeout, Request: limits.StallTimeout}
+	v.inbound.BodyTimeout, v.inbound.WriteTimeout = limits.ReadTimeout, limits.WriteTimeout
+	v.memory.Reclaim = v.inbound.Reclaim
+	n := v.cfg.Descriptors
+	if n == 0 {
+		var r unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
+			klog.ErrorS(err, "The descriptors of the process are not known; connections have no bound")
+			return 0
+		}
+		n = int(min(r.Cur, maxDescriptors))
+	}
+	klog.InfoS("Connections limited", "descriptors", n)
+	return n
+}
+
+// callerIdleTimeout returns how long a caller's connection may be kept without a request: the time of the configuration if it names one.
+func (v *VM) callerIdleTimeout() time.Duration {
+	if n := v.authority.Config().RequestLimits.IdleTimeout; n > 0 {
+		return n
+	}
+	return v.cfg.Caller.IdleTimeout
+}
+
 // memoryLimits returns Go's soft memory limit, and the bytes that requests may hold, of a VM with so much memory.
 func memoryLimits(total int64) (soft, requests int64) {
 	soft = int64(memoryLimitFraction * float64(total))
--- a/internal/routers/vm/platform.go
+++ b/internal/routers/vm/platform.go
@@ -89,11 +89,11 @@
 func (v *VM) platformEndpoints() []endpoint {
 	server := v.platform
 	return []endpoint{
-		{"callers", v.cfg.Listen.Caller, v.endLater(server.caller)},
-		{"operators", v.cfg.Listen.Operator, server.control},
-		{"upstreams", v.cfg.Listen.Upstream, server.control},
-		{"metrics", v.cfg.Listen.Metrics, v.metricsHandler()},
-		{"readiness", v.cfg.Listen.Ready, platform.Ready(v.ready)},
+		{"callers", v.cfg.Listen.Caller, v.endLater(server.caller), mainClients},
+		{"operators", v.cfg.Listen.Operator, server.control, mainClients},
+		{"upstreams", v.cfg.Listen.Upstream, server.control, otherClients},
+		{"metrics", v.cfg.Listen.Metrics, v.metricsHandler(), probeClients},
+		{"readiness", v.cfg.Listen.Ready, platform.Ready(v.ready), probeClients},
 	}
 }
 
--- a/internal/routers/vm/vm.go
+++ b/internal/routers/vm/vm.go
@@ -19,6 +19,7 @@
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/inbound"
 	"wagtaillift/internal/modules/memory"
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
@@ -77,6 +78,7 @@
 	detector       *quarantine.Detector
 	orders         *order.Service
 	memory         memory.Budget
+	inbound        inbound.Table
 	gate           shutdown.Gate
 	requests       context.Context // of all callers' requests
 	endRequests    context.CancelCauseFunc
@@ -300,37 +302,50 @@
 	})
 }
 
-// endpoint is a listener with its handler. An empty address disables it.
+// endpoint is a listener with its handler and the part of the process's descriptors that its clients may take. An empty address disables it.
 type endpoint struct {
 	name, address string
 	h             http.Handler
+	descriptors   float64
 }
 
+// Parts of the descriptors of a process. What they leave is for upstreams, other VMs, the log and the data folder.
+const (
+	mainClients  = 0.4      // of the address at which a VM does its work
+	otherClients = 0.1      // of an address with few clients
+	probeClients = 1.0 / 16 // of probes and metrics
+)
+
 // endpoints returns the endpoints of the OpenAI-style API.
 func (v *VM) endpoints() []endpoint {
 	announcements := &announce.Handler{Config: v.authority.Config, Guard: v.authority, Roster: v.roster, VM: v.authority.VM()}
 	return []endpoint{
-		{"callers", v.cfg.Listen.Caller, v.endLater(v.caller)},
-		{"operators", v.cfg.Listen.Operator, v.operator},
-		{"upstreams", v.cfg.Listen.Upstream, announcements},
-		{"metrics", v.cfg.Listen.Metrics, v.metricsHandler()},
+		{"callers", v.cfg.Listen.Caller, v.endLater(v.caller), mainClients},
+		{"operators", v.cfg.Listen.Operator, v.operator, otherClients},
+		{"upstreams", v.cfg.Listen.Upstream, announcements, otherClients},
+		{"metrics", v.cfg.Listen.Metrics, v.metricsHandler(), probeClients},
 	}
 }
 
 // listen binds the TCP addresses. A disabled endpoint gets a nil listener, so that the indexes stay the same.
 func (v *VM) listen(endpoints []endpoint) error {
-	for _, e := range endpoints {
+	descriptors := v.limitConnections()
+	for i, e := range endpoints {
 		if e.address == "" {
 			v.listeners, v.servers = append(v.listeners, nil), append(v.servers, &http.Server{})
 			continue
 		}
-		l, err := net.Listen("tcp", e.address)
+		idle := func() time.Duration { return v.cfg.Caller.IdleTimeout }
+		if i == endpointCaller {
+			idle = v.callerIdleTimeout
+		}
+		l, err := v.inbound.Listen(e.name, e.address, int(e.descriptors*float64(descriptors)), idle)
 		if err != nil {
-			return errors.Annotatef(err, "listen for %s on %s", e.name, e.address)
+			return err
 		}
 		v.listeners = append(v.listeners, l)
 		v.servers = append(v.servers, &http.Server{
-			Handler: e.h, ReadHeaderTimeout: v.cfg.Caller.ReadTimeout, MaxHeaderBytes: v.cfg.Caller.MaxHeader,
+			Handler: l.Handler(e.h), ConnContext: inbound.ConnContext, ReadHeaderTimeout: v.cfg.Caller.ReadTimeout, MaxHeaderBytes: v.cfg.Caller.MaxHeader,
 		})
 	}
 	return nil
@@ -344,6 +359,7 @@
 		v.writeBurnRates(w)
 		v.writeControlMetrics(w)
 		v.writeMemoryMetrics(w)
+		v.inbound.WriteMetrics(w)
 	})
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -398,6 +414,7 @@
 		pause.Every(serveCtx, quarantine.CheckInterval, func() { v.detector.Check(clock.SinceBoot()) })
 	})
 	start(func() { v.runPlatform(serveCtx) })
+	start(func() { v.inbound.Run(serveCtx) })
 	v.servers[endpointCaller].BaseContext = func(net.Listener) context.Context { return v.requests }
 	for i, s := range v.servers {
 		if v.listeners[i] == nil {
--- a/internal/services/pipeline/pipeline.go
+++ b/internal/services/pipeline/pipeline.go
@@ -200,6 +200,8 @@
 			return err
 		}
 		c.Body = data
+	} else if err := http.NewResponseController(c.W).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Annotate(err, "clear read deadline") // the body is passed on as it arrives, within the deadline of the call
 	}
 	return authorize(c)
 }
