Listeners have a small receive buffer

Cause: the kernel lets each connection grow to megabytes of unread bytes. They pile up where nobody reads: after a refusal, while net/http keeps the connection for half a second so that the client sees the answer, and between the reads of a body.

Change: the listeners set SO_RCVBUF to 16 KB, which accepted connections inherit. It is one window a round trip of a single connection; the largest legal body is served in calm (TestCrowdOfOneSoundClient).

Evidence: TestCrowdOfBodiesWithoutKey passes, 41.1 to 63.7 MB, up to 22.3 MB of it unread.

--- a/internal/modules/inbound/inbound.go
+++ b/internal/modules/inbound/inbound.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,7 @@
 	maxHead       = 1 << 20  // more than the largest allowed header
 	headCopies    = 2        // of a header, while it is parsed
 	writeStep     = 64 << 10 // bytes of an answer after which its progress is noted
+	receiveBuffer = 16 << 10 // of the kernel; it holds what has arrived and was not read, which counts as the VM's memory
 	spareDivisor  = 8        // limit/spareDivisor connections are for those that come while others are being closed
 	sweepInterval = time.Second
 )
@@ -61,7 +63,16 @@
 
 // Listen listens on address. At most limit connections are open unless it is zero, and idle returns how long they may be kept without a request.
 func (t *Table) Listen(name, address string, limit int, idle func() time.Duration) (*Listener, error) {
-	l, err := net.Listen("tcp", address)
+	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		if controlErr != nil {
+			return controlErr
+		}
+		return errors.Annotate(err, "set the receive buffer")
+	}}
+	l, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for %s on %s", name, address)
 	}
