Large calls of other VMs take room, and must not stall

Cause: modules/peer read each call up to 64 MB whatever others held, and waited for the rest for as long as the connection lived.

Change: a call of more than 64 KB takes twice its size from a budget of the transport, a third of the machine's memory, as its bytes come; without room its stream is rejected, and so is one that makes no progress for 10 s. Small calls, on which leases and loads depend, need no room. The budget is apart from that of requests, so that a crowd of callers can't keep a VM from the log.

Open: the number of QUIC connections, and of small calls that stall.

--- a/internal/modules/peer/peer.go
+++ b/internal/modules/peer/peer.go
@@ -21,6 +21,7 @@
 	"wagtaillift/internal/modules/cert"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/lazy"
+	"wagtaillift/internal/modules/memory"
 	"wagtaillift/internal/modules/pause"
 )
 
@@ -32,6 +33,8 @@
 	unusedTimeout     = 10 * time.Second       // without a call after which a connection is closed
 	minRedialInterval = 200 * time.Millisecond // minimum time between a failed dial and the next one to the same address
 	maxMessageBytes   = 64 << 20
+	callCopies        = 2                // of a large call, while it is read and decoded
+	callStallTimeout  = 10 * time.Second // without progress of a large call
 	maxStreams        = 4096
 	codeCallEnded     = 0 // stream error code: the context of the call ended
 	codeRejected      = 1 // error code of streams and connections
@@ -95,7 +98,9 @@
 
 // Transport makes and receives calls.
 type Transport struct {
-	Stats    Stats
+	Stats  Stats
+	Memory memory.Budget // of calls of more than memory.SmallBytes from other VMs
+
 	certs    *cert.Store
 	quic     *quic.Transport
 	listener *quic.Listener
@@ -242,12 +247,16 @@
 
 func (t *Transport) serveStream(ctx context.Context, from id.VM, s *quic.Stream) {
 	defer s.Close()
+	r := callReader{s: s, hold: memory.Hold{Budget: &t.Memory, Use: memory.Document, Customer: id.Customer(from)}}
+	defer r.hold.Release()
 	var c call
-	if _, err := t.readFirst(s, &c); err != nil {
+	if _, err := t.readFirst(&r, &c); err != nil {
 		klog.V(1).InfoS("Unreadable call of a peer", "peer", from, "err", err)
+		s.CancelRead(codeRejected)
 		s.CancelWrite(codeRejected)
 		return
 	}
+	s.SetReadDeadline(time.Time{})
 	if open, ok := t.tunnels[c.Method]; ok {
 		t.serveTunnel(ctx, from, s, open, c.Body)
 		return
@@ -272,6 +281,26 @@
 	}
 }
 
+// callReader reads a call. A large one takes room as its bytes come, and must not stall.
+type callReader struct {
+	s    *quic.Stream
+	hold memory.Hold
+	n    int64 // bytes read
+}
+
+// Read implements io.Reader.
+func (r *callReader) Read(p []byte) (int, error) {
+	if r.n > memory.SmallBytes {
+		r.s.SetReadDeadline(time.Now().Add(callStallTimeout))
+	}
+	n, err := r.s.Read(p)
+	r.n += int64(n)
+	if room := callCopies*r.n - r.hold.Held(); r.n > memory.SmallBytes && !r.hold.Take(room) {
+		return 0, errors.Annotatef(memory.ErrNoRoom, "after %d bytes", r.n)
+	}
+	return n, err
+}
+
 // handle runs a handler. A panic, which a message that nobody foresaw may cause, ends the call and not the process.
 func (t *Transport) handle(ctx context.Context, from id.VM, h Handler, c call) (body []byte, err error) {
 	defer func() {
--- a/internal/routers/vm/memory.go
+++ b/internal/routers/vm/memory.go
@@ -19,6 +19,7 @@
 	vmMemory            = 48 * megabyte // what a VM needs itself
 	minHeapDivisor      = 4             // of a small soft limit, limit/minHeapDivisor is for requests and garbage
 	requestFraction     = 2.0 / 3       // of what the VM does not need; the rest is for garbage
+	peerDivisor         = 3             // memory/peerDivisor is for large calls of other VMs
 	maxDescriptors      = 1 << 20       // if the process has no lower limit
 )
 
@@ -30,6 +31,7 @@
 	soft, requests := memoryLimits(int64(v.cfg.MemoryMB) * megabyte)
 	debug.SetMemoryLimit(soft)
 	v.memory.SetLimit(requests)
+	v.transport.Memory.SetLimit(int64(v.cfg.MemoryMB) * megabyte / peerDivisor)
 	klog.InfoS("Memory limited", "memory", v.cfg.MemoryMB, "soft", soft, "requests", requests)
 }
 
@@ -73,4 +75,10 @@
 		fmt.Fprintf(w, "wagtaillift_request_bytes_rejected_total{use=%q} %d\n", u, v.memory.Rejected(u))
 	}
 	fmt.Fprintf(w, "wagtaillift_request_bytes_limit %d\n", v.memory.Limit())
+	if v.transport != nil {
+		peers := &v.transport.Memory
+		fmt.Fprintf(w, "wagtaillift_peer_call_bytes %d\n", peers.Held(memory.Document))
+		fmt.Fprintf(w, "wagtaillift_peer_call_bytes_rejected_total %d\n", peers.Rejected(memory.Document))
+		fmt.Fprintf(w, "wagtaillift_peer_call_bytes_limit %d\n", peers.Limit())
+	}
 }
