A client can read an answer that comes before the end of its body

Cause: the handler of modules/inbound put its reader into the request of net/http, which then didn't find its own body there, and so closed the connection at once in place of half a second after its last byte; the bytes on their way reset it. Ruled out: the small receive buffer, as the reset came within 10 ms.

Change: the handler gets a copy of the request.

--- a/internal/modules/inbound/conn.go
+++ b/internal/modules/inbound/conn.go
@@ -175,7 +175,9 @@
 		defer c.end()
 		if r.ContentLength != 0 {
 			c.SetReadDeadline(time.Now().Add(l.table.BodyTimeout))
-			r.Body = &bodyReader{r.Body, c}
+			own := *r // net/http must find its own body in r to let a client read an answer that comes before the end of the body
+			own.Body = &bodyReader{r.Body, c}
+			r = &own
 		}
 		h.ServeHTTP(w, r)
 	})
--- a/internal/modules/inbound/inbound_test.go
+++ b/internal/modules/inbound/inbound_test.go
@@ -219,6 +219,20 @@
 	})
 }
 
+// The connection was reset under the answer, as net/http did not find its own body in the request.
+func TestAnswerBeforeTheEndOfTheBodyArrives(t *testing.T) {
+	l := serve(t, newTable(0), 0, 0, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+	for range 20 {
+		resp, err := http.Post("http://"+l.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("x", 8<<20)))
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	}
+}
+
 func TestMetrics(t *testing.T) {
 	l := serve(t, newTable(0), 7, 0, nothing)
 	requireServed(t, l)
