Stand-ins of the tests with cuts answer 421 to requests for another upstream

Traced by the logs of that run: upstream s-z0 at port 43433 crashed, and its port was taken (02:04:45) by an upstream of TestSoakWithCuts, whose package ran beside it; that one ran requests that named another upstream. Upstreams of the platform answer 421 to these, so the VM can't tell. No fault of the product; the stand-in is stricter now and no check has changed.

--- a/internal/routers/vm/cut_test.go
+++ b/internal/routers/vm/cut_test.go
@@ -167,6 +167,10 @@
 	u.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.silent.RLock()
 		defer u.silent.RUnlock()
+		if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != name {
+			w.WriteHeader(http.StatusMisdirectedRequest) // for an upstream that had the address before
+			return
+		}
 		if strings.HasPrefix(r.URL.Path, "/health") && u.unhealthy.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
