Voters of the log are replaced by the log's own answers

Cause: a voter was replaced only once its VM had been missing from the members of the fleet for data.spare. A VM leaves the members when its VM lease has ended (3 s from the last report, counted anew by a new leader), and the two steps (remove, promote) waited for a tick of 0.2 s each. The successor had the whole log within 10 ms and stood by as a learner. Log of a broken deployment: leader killed at 24.91, next leader 25.57, "VM lease expired" 28.90, second VM killed 29.92, "Log membership change proposed" 30.10, never committed, as two of three voters were gone.

Ruled out by the same log: a successor that joins or catches up too late (it follows the new leader at 25.91), an election that takes longer than the bound.

A voter that has not answered for data.spare gives way to a learner that answers and has caught up; half of that if it never answered this leader, since leaders that are lost one after the other each count anew. Time counts by the latest answers of a majority, so that a leader which stood still takes nobody for silent. The decision runs on the replica's goroutine, so no change is made from members read earlier (an enrollment could bring back a removed voter), and the next one follows as soon as one is committed. One log line a change, a counter and a gauge of the losses that the log still bears.

--- a/internal/modules/quorum/core.go
+++ b/internal/modules/quorum/core.go
@@ -124,14 +124,19 @@
 // FirstIndex returns the lowest index that is still in memory.
 func (c *Core) FirstIndex() Index { return c.log.snapshot.Index + 1 }
 
-// MatchIndex returns the highest index that n has acknowledged as stored. It returns false if this node is not the
-// leader or has not replicated to n yet.
-func (c *Core) MatchIndex(n Node) (Index, bool) {
+// Progress is what a leader knows of another member.
+type Progress struct {
+	Match Index         // highest index that the member has acknowledged as stored
+	Acked time.Duration // by the leader's clock, when the latest message was sent that the member has answered; zero if there is none
+}
+
+// Progress returns the progress of n. It is zero if this node is not the leader or n has not answered yet.
+func (c *Core) Progress(n Node) Progress {
 	p, ok := c.peers[n]
 	if !ok {
-		return 0, false
+		return Progress{}
 	}
-	return p.match, true
+	return Progress{Match: p.match, Acked: p.ackedSendTime}
 }
 
 // TakeOutput returns the pending output and clears it.
@@ -301,4 +306,7 @@
 }
 
 // quorumSize returns the number of voters that form a majority.
-func (c *Core) quorumSize() int { return len(c.Members().Voters)/2 + 1 }
+func (c *Core) quorumSize() int { return Majority(len(c.Members().Voters)) }
+
+// Majority returns how many of n voters form a majority.
+func Majority(n int) int { return n/2 + 1 }
--- a/internal/modules/quorum/replicate.go
+++ b/internal/modules/quorum/replicate.go
@@ -38,7 +38,7 @@
 	if c.role != Leader {
 		return 0, ErrNotLeader
 	}
-	if c.transferTarget != "" || c.log.hasPendingChange() || c.log.term(c.log.commit) != c.hardState.Term {
+	if !c.CanChangeMembers() {
 		return 0, ErrBusy
 	}
 	if countDifferences(c.Members().Voters, m.Voters) > 1 || len(m.Voters) == 0 {
@@ -49,6 +49,11 @@
 	return c.log.lastIndex(), nil
 }
 
+// CanChangeMembers reports whether this node leads and no other membership change or transfer is in progress.
+func (c *Core) CanChangeMembers() bool {
+	return c.role == Leader && c.transferTarget == "" && !c.log.hasPendingChange() && c.log.term(c.log.commit) == c.hardState.Term
+}
+
 // countDifferences returns the number of nodes that are in only one of a and b.
 func countDifferences(a, b []Node) int {
 	n := 0
@@ -233,6 +238,15 @@
 	}
 }
 
+// QuorumAck returns the latest time, by this leader's clock, such that a majority has answered messages that were sent at or after it; zero on
+// other nodes.
+func (c *Core) QuorumAck(now time.Duration) time.Duration {
+	if c.role != Leader {
+		return 0
+	}
+	return c.quorumAckTime(now)
+}
+
 // quorumAckTime returns the latest time, by this leader's clock, such that a majority has answered messages that were
 // sent at or after it.
 func (c *Core) quorumAckTime(now time.Duration) time.Duration {
--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -56,9 +56,10 @@
 	Term         quorum.Term
 	Commit       quorum.Index
 	Members      quorum.Members
-	LeaseEnd     time.Duration // by clock.SinceBoot; zero if this node has no leader's lease
-	LeadingSince time.Duration // by clock.SinceBoot, when this leader first had a lease; zero on other nodes
-	MatchIndexes map[quorum.Node]quorum.Index
+	LeaseEnd     time.Duration                   // by clock.SinceBoot; zero if this node has no leader's lease
+	LeadingSince time.Duration                   // by clock.SinceBoot, when this leader first had a lease; zero on other nodes
+	Peers        map[quorum.Node]quorum.Progress // of the other members, on a leader with a lease
+	Answered     time.Duration                   // by clock.SinceBoot, send time of messages that a majority has answered, on a leader
 	Role         quorum.Role
 }
 
@@ -320,30 +321,40 @@
 
 // publishStatus updates the result of Status and Empty.
 func (r *Replica[R]) publishStatus(now time.Duration) {
+	s := r.statusAt(now)
+	r.logChange(s)
+	r.leadingSince = s.LeadingSince
+	r.status.Store(s)
+	r.empty.Store(r.core.LastIndex() == 0)
+}
+
+// statusAt returns the status at now.
+func (r *Replica[R]) statusAt(now time.Duration) *Status {
 	s := &Status{
-		Self: r.core.Self(), Leader: r.core.Leader(), Leading: r.core.Role() == quorum.Leader,
+		Self: r.core.Self(), Leader: r.core.Leader(), Leading: r.core.Role() == quorum.Leader, Answered: r.core.QuorumAck(now),
 		Term: r.core.Term(), Commit: r.core.Commit(), Members: r.core.Members(), Role: r.core.Role(),
 	}
-	r.logChange(s)
+	if !s.Leading {
+		return s
+	}
+	s.LeadingSince = r.leadingSince
 	end, valid := r.core.LeaseEnd(now, r.maxClockDrift)
-	if valid {
-		s.LeaseEnd = end
-		if r.leadingSince == 0 {
-			r.leadingSince = now
-		}
-		s.MatchIndexes = map[quorum.Node]quorum.Index{}
-		for _, n := range append(append([]quorum.Node(nil), s.Members.Voters...), s.Members.Learners...) {
-			if m, ok := r.core.MatchIndex(n); ok {
-				s.MatchIndexes[n] = m
+	if !valid {
+		return s
+	}
+	s.LeaseEnd = end
+	if s.LeadingSince == 0 {
+		s.LeadingSince = now
+	}
+	s.Peers = map[quorum.Node]quorum.Progress{}
+	for _, list := range [][]quorum.Node{s.Members.Voters, s.Members.Learners} {
+		for _, n := range list {
+			if n != s.Self {
+				s.Peers[n] = r.core.Progress(n)
 			}
 		}
 	}
-	if !s.Leading {
-		r.leadingSince = 0
-	}
-	s.LeadingSince = r.leadingSince
-	r.status.Store(s)
-	r.empty.Store(r.core.LastIndex() == 0)
+	return s
 }
 
 // logChange writes a line when the role of this node or the leader changes.
@@ -468,12 +479,45 @@
 	}
 }
 
-// ProposeMembers proposes a membership change without waiting for its commit.
-func (r *Replica[R]) ProposeMembers(ctx context.Context, m quorum.Members) error {
-	return r.call(ctx, func(now time.Duration) error {
-		_, err := r.core.ProposeMembers(now, m)
-		return err
+// ChangeMembers calls decide with the status of this leader, proposes the members that it returns, and waits until the change is applied. It
+// reports whether there was a change. decide runs on the replica's goroutine, so that no other change can come between.
+func (r *Replica[R]) ChangeMembers(ctx context.Context, decide func(s Status) (quorum.Members, bool)) (bool, error) {
+	ch := make(chan proposalResult[R], 1)
+	changed := true
+	err := r.enqueue(ctx, func(now time.Duration) {
+		s := r.statusAt(now)
+		if !s.Leading || s.LeaseEnd == 0 {
+			ch <- proposalResult[R]{err: quorum.ErrNotLeader}
+			return
+		}
+		if !r.core.CanChangeMembers() {
+			ch <- proposalResult[R]{err: quorum.ErrBusy}
+			return
+		}
+		next, ok := decide(*s)
+		if !ok {
+			changed = false
+			ch <- proposalResult[R]{}
+			return
+		}
+		i, err := r.core.ProposeMembers(now, next)
+		if err != nil {
+			ch <- proposalResult[R]{err: err}
+			return
+		}
+		r.proposals[i] = pendingProposal[R]{term: r.core.Term(), ch: ch}
 	})
+	if err != nil {
+		return false, err
+	}
+	select {
+	case outcome := <-ch:
+		return changed && outcome.err == nil, outcome.err
+	case <-ctx.Done():
+		return false, ErrOutcomeUnknown
+	case <-r.stopped:
+		return false, ErrOutcomeUnknown
+	}
 }
 
 // Read waits until all entries that were committed before the call are applied here, and returns the index of the last.
--- a/internal/routers/vm/metrics.go
+++ b/internal/routers/vm/metrics.go
@@ -45,6 +45,10 @@
 		leading = 1
 	}
 	fmt.Fprintf(w, "wagtaillift_leading %d\n", leading)
+	if changes, spare, ok := v.authority.Voters(clock.SinceBoot()); ok {
+		fmt.Fprintf(w, "wagtaillift_log_member_changes_total %d\n", changes)
+		fmt.Fprintf(w, "wagtaillift_log_spare_voters %d\n", spare)
+	}
 	fmt.Fprintf(w, "wagtaillift_requests_running %d\n", v.runningRequests())
 	fmt.Fprintf(w, "wagtaillift_quarantine_records %d\n", v.quarantineList.Len())
 	fmt.Fprintf(w, "wagtaillift_upstreams %d\n", len(v.roster.Snapshot().All))
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -82,6 +82,7 @@
 	outboxes         sync.Map               // address to chan quorum.Message
 	relayAddress     atomic.Pointer[string] // next hop for calls to the leader while its address is unknown
 	leader           *leader
+	voters           *voters
 	reportBatcher    reportBatcher
 	ctx              context.Context // cancelled when Run returns; peer calls may arrive before Run starts
 	cancel           context.CancelFunc
@@ -104,7 +105,7 @@
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.seeds.Store(opt.Seeds)
 	a.fleetTime.start(time.Now(), clock.SinceBoot())
-	a.leader = newLeader(a)
+	a.leader, a.voters = newLeader(a), newVoters(a)
 	if opt.Folder != "" {
 		if err := a.openReplica(); err != nil {
 			return nil, err
@@ -203,6 +204,7 @@
 			}
 		})
 		run(a.leader.run)
+		run(a.voters.run)
 		run(a.enrollLoop)
 		run((&leaderWatch{a: a}).run)
 	} else {
--- a/internal/services/authority/authority_test.go
+++ b/internal/services/authority/authority_test.go
@@ -43,6 +43,7 @@
 	folder          string
 	vms             []*node
 	timing          Timing // of VMs that are started from now on
+	voters          int
 	lastIncarnation id.Incarnation
 }
 
@@ -56,7 +57,11 @@
 }
 
 func newTimedFleet(t *testing.T, timing Timing, control, followers int) *testFleet {
-	g := &testFleet{t: t, folder: t.TempDir(), timing: timing}
+	return newVotingFleet(t, timing, 3, control, followers)
+}
+
+func newVotingFleet(t *testing.T, timing Timing, voters, control, followers int) *testFleet {
+	g := &testFleet{t: t, folder: t.TempDir(), timing: timing, voters: voters}
 	g.bootstrap()
 	for i := range control + followers {
 		g.add(i < control)
@@ -69,7 +74,7 @@
 	g.waitUntil("all members", func() bool { return len(g.vms[0].authority.State().Members()) == control+followers })
 	g.waitUntil("all voters", func() bool {
 		s, _ := g.vms[0].authority.Status()
-		return len(s.Members.Voters) == min(control, 3)
+		return len(s.Members.Voters) == min(control, voters)
 	})
 	return g
 }
@@ -113,7 +118,7 @@
 	n.address = tr.Address()
 	g.lastIncarnation++
 	opt := Options{
-		VM: id.VM(n.name), Zone: g.zone(n), Incarnation: g.lastIncarnation, Peer: cmp.Or(n.proxied, n.address), Voters: 3, Transport: tr, Timing: g.timing,
+		VM: id.VM(n.name), Zone: g.zone(n), Incarnation: g.lastIncarnation, Peer: cmp.Or(n.proxied, n.address), Voters: g.voters, Transport: tr, Timing: g.timing,
 	}
 	if n.control {
 		opt.Folder = g.path(n.name)
--- a/internal/services/authority/handlers.go
+++ b/internal/services/authority/handlers.go
@@ -11,6 +11,7 @@
 	"wagtaillift/internal/models/usage"
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
+	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
 	"wagtaillift/internal/modules/quorum"
 	"wagtaillift/internal/modules/replica"
@@ -170,11 +171,7 @@
 // once.
 func (a *Agent) addLearner(ctx context.Context, q enrollment) error {
 	if a.replica != nil && a.replica.Status().Leading {
-		s := a.replica.Status()
-		if s.Members.Contains(q.Node) {
-			return nil
-		}
-		return a.replica.ProposeMembers(ctx, withLearner(s.Members, q.Node))
+		return a.proposeLearner(ctx, q.Node)
 	}
 	addr, ok := a.nextHop()
 	if !ok || q.Hops >= maxHops {
@@ -186,6 +183,21 @@
 	return ErrNoQuorum
 }
 
+// enrollPollInterval is the time between two tries to add a learner while another change of the members is in progress.
+const enrollPollInterval = 20 * time.Millisecond
+
+// proposeLearner commits n as a learner. It waits for its turn while another change is in progress, as several VMs may enroll at once.
+func (a *Agent) proposeLearner(ctx context.Context, n quorum.Node) error {
+	for {
+		_, err := a.replica.ChangeMembers(ctx, func(s replica.Status) (quorum.Members, bool) {
+			return withLearner(s.Members, n), !s.Members.Contains(n)
+		})
+		if !errors.Is(err, quorum.ErrBusy) || !pause.For(ctx, enrollPollInterval) {
+			return err
+		}
+	}
+}
+
 // withLearner returns m with n added as a learner. It replaces an earlier learner of the same VM, whose disk is gone.
 func withLearner(m quorum.Members, n quorum.Node) quorum.Members {
 	if old, ok := nodeOfVM(m.Learners, nodeVM(n)); ok {
--- a/internal/services/authority/leader.go
+++ b/internal/services/authority/leader.go
@@ -16,14 +16,11 @@
 	"wagtaillift/internal/modules/clock"
 	"wagtaillift/internal/modules/id"
 	"wagtaillift/internal/modules/pause"
-	"wagtaillift/internal/modules/quorum"
-	"wagtaillift/internal/modules/replica"
 	"wagtaillift/internal/services/limit"
 )
 
 const (
 	usageInterval        = time.Second
-	maxPromotionLag      = 200 // entries by which a learner may lag when it is promoted
 	revisionPollInterval = 20 * time.Millisecond
 )
 
@@ -36,7 +33,6 @@
 	lastReports  map[id.VM]receivedReport
 	firstSeen    map[id.VM]firstObservation
 	renewals     map[lease.Name]observedRenewal
-	absentSince  map[id.VM]time.Duration
 	dividers     map[id.Customer]*limit.Divider
 	retained     []retained // of VMs whose lease has ended but whose autonomy has not
 	usageCounts  map[usage.Source]usage.Count
@@ -107,7 +103,6 @@
 	if len(readings) > 0 {
 		l.propose(ctx, state.Command{Usage: &state.Usage{Readings: readings}})
 	}
-	l.adjustVoters(ctx, now, s)
 }
 
 func (l *leader) propose(ctx context.Context, c state.Command) {
@@ -126,7 +121,6 @@
 	l.leadingSince = leadingSince
 	l.lastReports = map[id.VM]receivedReport{}
 	l.firstSeen = map[id.VM]firstObservation{}
-	l.absentSince = map[id.VM]time.Duration{}
 	l.dividers = map[id.Customer]*limit.Divider{}
 	l.retained = nil
 	l.usageCounts = map[usage.Source]usage.Count{}
@@ -208,9 +202,6 @@
 	}
 	delete(l.lastReports, vm)
 	delete(l.firstSeen, vm) // the same incarnation may join again
-	if _, ok := l.absentSince[vm]; !ok {
-		l.absentSince[vm] = now
-	}
 }
 
 // unfreezeDividers lets dividers enlarge shares as soon as no unknown VM can hold one.
@@ -300,7 +291,6 @@
 		return g // a delayed report must not override the acknowledgement in a later one
 	}
 	l.lastReports[r.VM] = receivedReport{incarnation: r.Incarnation, at: now, sentAt: r.Sent, revision: r.Revision, wallOffset: r.Wall - now}
-	delete(l.absentSince, r.VM)
 	l.retained = slices.DeleteFunc(l.retained, func(e retained) bool { return e.vm == r.VM })
 	g.Duration, g.Revision, g.Index = l.a.timing.Lease, l.a.Config().Revision, l.a.feed.Last()
 	for _, d := range r.Demands {
@@ -393,64 +383,3 @@
 	}
 	return status
 }
-
-// adjustVoters makes one step towards the configured number of voters. A new disk replaces the old one of its VM,
-// learners that have caught up are promoted, and a voter absent for Timing.ReplaceVoterAfter is replaced by a learner.
-func (l *leader) adjustVoters(ctx context.Context, now time.Duration, s replica.Status) {
-	next, ok := l.nextMembers(now, s)
-	if !ok {
-		return
-	}
-	if err := l.a.replica.ProposeMembers(ctx, next); err == nil {
-		klog.InfoS("Log membership change proposed", "voters", next.Voters, "learners", next.Learners)
-	}
-}
-
-// nextMembers returns the log members after the next step; ok is false if no change is due.
-func (l *leader) nextMembers(now time.Duration, s replica.Status) (quorum.Members, bool) {
-	for _, n := range s.Members.Learners {
-		if s.MatchIndexes[n] == 0 || s.MatchIndexes[n]+maxPromotionLag < s.Commit {
-			continue
-		}
-		if old, ok := nodeOfVM(s.Members.Voters, nodeVM(n)); ok {
-			return s.Members.Without(old), true
-		}
-		if len(s.Members.Voters) < l.a.opt.Voters {
-			return s.Members.With(n, true), true
-		}
-		if absent, ok := l.absentVoter(now, s.Members.Voters); ok {
-			return s.Members.Without(absent), true
-		}
-	}
-	return s.Members, false
-}
-
-// nodeOfVM returns the node of vm in list.
-func nodeOfVM(list []quorum.Node, vm id.VM) (quorum.Node, bool) {
-	for _, x := range list {
-		if nodeVM(x) == vm {
-			return x, true
-		}
-	}
-	return "", false
-}
-
-// absentVoter returns a voter whose VM has been missing from the members for more than Timing.ReplaceVoterAfter.
-func (l *leader) absentVoter(now time.Duration, voters []quorum.Node) (quorum.Node, bool) {
-	members := l.a.feed.Members()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, n := range voters {
-		vm := nodeVM(n)
-		if _, ok := members[vm]; ok {
-			continue
-		}
-		since, ok := l.absentSince[vm]
-		if !ok {
-			l.absentSince[vm] = now
-		} else if now-since > l.a.timing.ReplaceVoterAfter {
-			return n, true
-		}
-	}
-	return "", false
-}
--- /dev/null
+++ b/internal/services/authority/replacement_test.go
@@ -0,0 +1,137 @@
+package authority
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Times of the deployments for which the bound is stated.
+const (
+	catchUp    = 4 * time.Second // after which the loss of a VM whose successor runs counts no more
+	catchUpGap = 10 * time.Millisecond
+)
+
+var deployedTiming = Timing{Lease: 3 * time.Second, ElectionTimeout: 400 * time.Millisecond, ReplaceVoterAfter: time.Second}
+
+// replacementFleet is a fleet in which control VMs are replaced and lost.
+type replacementFleet struct {
+	*testFleet
+	follower  *node // stays up, and is no control VM
+	tolerance int
+	changes   int
+}
+
+func newReplacementFleet(t *testing.T, control, tolerance int) *replacementFleet {
+	f := &replacementFleet{testFleet: newVotingFleet(t, deployedTiming, 2*tolerance+1, control, 1), tolerance: tolerance}
+	f.follower = f.vms[control]
+	f.commit()
+	return f
+}
+
+// commit makes a change through the follower, and expects all earlier ones to be in force with it.
+func (f *replacementFleet) commit() {
+	f.t.Helper()
+	f.commitChange(f.follower, fmt.Sprint("r", f.changes), fmt.Sprint("c", f.changes))
+	f.changes++
+	f.waitUntil("all changes", func() bool { return f.follower.hasCustomers(f.changes) })
+}
+
+// pick returns n running voters, the leader among them if so asked.
+func (f *replacementFleet) pick(n int, leader bool) []*node {
+	first := f.leader()
+	s, _ := first.authority.Status()
+	var list []*node
+	if leader {
+		list = append(list, first)
+	}
+	for _, x := range f.vms {
+		if len(list) < n && x != first && x.stop != nil && x.control && s.Members.IsVoter(x.authority.node) {
+			list = append(list, x)
+		}
+	}
+	require.Len(f.t, list, n)
+	return list
+}
+
+// lose takes VMs away for good.
+func (f *replacementFleet) lose(list []*node) {
+	for _, n := range list {
+		f.kill(n)
+		n.control = false // no seed of VMs that start later
+	}
+}
+
+// replace loses VMs and starts as many successors after delay. It returns once those have had the time to catch up.
+func (f *replacementFleet) replace(list []*node, delay time.Duration) {
+	f.lose(list)
+	time.Sleep(delay)
+	f.addSuccessors(len(list))
+}
+
+func (f *replacementFleet) addSuccessors(n int) {
+	for range n {
+		f.add(true)
+	}
+	time.Sleep(catchUp + catchUpGap)
+}
+
+// loseNext takes as many VMs away at once as the fleet is said to bear, and expects that changes go on.
+func (f *replacementFleet) loseNext() {
+	f.t.Helper()
+	f.lose(f.remaining()[:f.tolerance])
+	f.commit()
+}
+
+// remaining returns the running control VMs, those that run longest first.
+func (f *replacementFleet) remaining() []*node {
+	var list []*node
+	for _, n := range f.vms {
+		if n.control && n.stop != nil {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// A control VM is lost for good and replaced, and the next loss comes once its successor has had the time to catch up. The successor did not
+// vote yet, as the lost VM counted as a voter until its lease had ended, and the log had no majority for good.
+func TestNextLossAfterReplacement(t *testing.T) {
+	for _, c := range []struct {
+		control, tolerance, lost int
+		leader                   bool
+		delay                    time.Duration
+	}{
+		{3, 1, 1, true, time.Second},
+		{3, 1, 1, true, 100 * time.Millisecond},
+		{3, 1, 1, false, time.Second},
+		{3, 1, 1, false, 100 * time.Millisecond},
+		{4, 1, 1, true, time.Second},
+		{5, 2, 2, true, time.Second},
+		{5, 2, 2, false, 100 * time.Millisecond},
+		{6, 2, 2, true, time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d VMs, %d lost, leader %t, after %s", c.control, c.lost, c.leader, c.delay), func(t *testing.T) {
+			t.Parallel()
+			f := newReplacementFleet(t, c.control, c.tolerance)
+			f.replace(f.pick(c.lost, c.leader), c.delay)
+			f.loseNext()
+		})
+	}
+}
+
+// The leader is replaced three times in a row, each time as soon as the fleet bears it, and the next loss follows.
+func TestLeaderIsReplacedInSeries(t *testing.T) {
+	for _, control := range []int{3, 4} {
+		t.Run(fmt.Sprint(control, " VMs, lost"), func(t *testing.T) {
+			t.Parallel()
+			f := newReplacementFleet(t, control, 1)
+			for range 3 {
+				f.replace(f.pick(1, true), time.Second)
+			}
+			f.loseNext()
+		})
+	}
+}
--- a/internal/services/authority/timing.go
+++ b/internal/services/authority/timing.go
@@ -13,7 +13,7 @@
 	Lease             time.Duration // time for which a VM may serve requests with an API key after a report
 	ElectionTimeout   time.Duration // minimum silence of a leader before another is elected
 	ApplyBound        time.Duration // time within which every serving VM has applied a confirmed change; zero means Lease
-	ReplaceVoterAfter time.Duration // absence after which a voter is replaced by a learner that has caught up
+	ReplaceVoterAfter time.Duration // silence after which a learner that has caught up takes a voter's place
 }
 
 // DefaultTiming suits fleets whose data centres are far from each other.
--- a/internal/services/authority/watch.go
+++ b/internal/services/authority/watch.go
@@ -60,8 +60,8 @@
 
 // checkLag writes a line for each member of the log that lags behind this leader.
 func (w *leaderWatch) checkLag(s replica.Status, delay time.Duration, served string) {
-	for n, match := range s.MatchIndexes {
-		if n == s.Self || match+maxLag >= s.Commit {
+	for n, p := range s.Peers {
+		if p.Match+maxLag >= s.Commit {
 			continue
 		}
 		queued := 0
@@ -70,7 +70,7 @@
 				queued = len(ch.(chan quorum.Message))
 			}
 		}
-		klog.InfoS("Member of the log lags", "node", n, "match", match, "commit", s.Commit, "queued", queued, "delay", delay.Round(time.Millisecond), "served", served)
+		klog.InfoS("Member of the log lags", "node", n, "match", p.Match, "commit", s.Commit, "queued", queued, "delay", delay.Round(time.Millisecond), "served", served)
 	}
 }
 
