A control VM that stops as planned hands its vote over

What callers saw: a control VM is replaced as planned, the new one first; 10 ms after the old one has ended, another one is lost.

Cause: a stopping VM left the members of the fleet and transferred leadership, but stayed a voter of the log. Log of the case: SIGTERM 28.89, the new leader 31.10, the old one ended 31.20, the next one lost 31.21, the leader steps down 31.95; no change of the log's members in between. The successor follows the new leader at 31.097 with the whole log, so it did not lag.

Change: before it ends, a stopping control VM asks the leader to replace it. The leader promotes a learner first and then removes the VM that leaves, so that any loss in between leaves a majority. If nobody stands by, the VM stays a voter and is settled at once, so a rolling restart changes nothing. A leader transfers leadership first, to a voter that does not leave itself if it can. A stopping VM waits for this until the end of its grace rather than for shutdown.leave: with the leader lost at the same moment, its end would leave one of three voters. A VM that has left does not enroll again.

--- a/internal/modules/quorum/election.go
+++ b/internal/modules/quorum/election.go
@@ -128,7 +128,7 @@
 		return false
 	}
 	if n == "" {
-		n = c.bestTransferTarget(now)
+		n = c.TransferTarget(now, nil)
 	}
 	p, ok := c.peers[n]
 	if !ok || !c.Members().IsVoter(n) || n == c.opt.Self {
@@ -143,9 +143,9 @@
 	return true
 }
 
-// bestTransferTarget returns the other voter with the highest match index among those that answered within the last
-// election timeout.
-func (c *Core) bestTransferTarget(now time.Duration) Node {
+// TransferTarget returns the other voter with the highest match index among those that answered within the last election timeout, and that avoid
+// does not hold if there is a choice.
+func (c *Core) TransferTarget(now time.Duration, avoid map[Node]bool) Node {
 	var best Node
 	var bestMatch Index
 	for _, n := range c.Members().Voters {
@@ -153,7 +153,7 @@
 		if n == c.opt.Self || p == nil || !p.responded || now-p.ackedSendTime > c.opt.ElectionTimeout {
 			continue
 		}
-		if best == "" || p.match > bestMatch {
+		if best == "" || avoid[best] && !avoid[n] || avoid[best] == avoid[n] && p.match > bestMatch {
 			best, bestMatch = n, p.match
 		}
 	}
--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -551,10 +551,11 @@
 	}
 }
 
-// Transfer starts a transfer of leadership to another voter and reports whether it could be started.
-func (r *Replica[R]) Transfer(ctx context.Context) bool {
+// Transfer starts a transfer of leadership to another voter, to one in avoid only if there is no choice, and reports whether it could be started.
+func (r *Replica[R]) Transfer(ctx context.Context, avoid map[quorum.Node]bool) bool {
 	ch := make(chan bool, 1)
-	if err := r.enqueue(ctx, func(now time.Duration) { ch <- r.core.Transfer(now, "") }); err != nil {
+	transfer := func(now time.Duration) { ch <- r.core.Transfer(now, r.core.TransferTarget(now, avoid)) }
+	if err := r.enqueue(ctx, transfer); err != nil {
 		return false
 	}
 	select {
--- a/internal/routers/vm/stop.go
+++ b/internal/routers/vm/stop.go
@@ -30,7 +30,7 @@
 	klog.InfoS("VM drained", "vm", v.cfg.VM, "running", v.runningRequests())
 	late := v.runningRequests() > 0
 	left := make(chan bool, 1)
-	go func() { left <- v.leave(ctx) }()
+	go func() { left <- v.leave(ctx, p.Exit) }()
 	if late {
 		v.awaitRequests(p.End)
 		klog.InfoS("VM ends the requests that still run", "vm", v.cfg.VM, "running", v.runningRequests())
@@ -42,13 +42,15 @@
 	}
 }
 
-// leave commits the remaining usage and leaves the fleet. It reports whether there was time for that.
-func (v *VM) leave(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, v.cfg.Shutdown.Leave)
+// leave commits the remaining usage and leaves the fleet, and the log by exit. It reports whether there was time to commit everything.
+func (v *VM) leave(ctx context.Context, exit time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, exit)
 	defer cancel()
-	v.authority.FlushUsage(ctx)
-	v.authority.Leave(ctx)
-	return ctx.Err() == nil
+	start := time.Now()
+	call, cancelCall := context.WithTimeout(ctx, v.cfg.Shutdown.Leave)
+	defer cancelCall()
+	v.authority.FlushUsage(call)
+	return v.authority.Leave(ctx, v.cfg.Shutdown.Leave-time.Since(start))
 }
 
 // awaitRequests waits until no request runs, or until end.
--- a/internal/services/authority/authority.go
+++ b/internal/services/authority/authority.go
@@ -239,31 +239,25 @@
 	return nil
 }
 
-// Leave releases this VM's leases in the log and its VM lease, removes it from the members and transfers leadership if
-// it is the leader.
-func (a *Agent) Leave(ctx context.Context) {
+// Leave releases this VM's leases in the log and its VM lease, and removes it from the members, for which it takes commit at most; it reports
+// whether that was enough. A control VM then transfers leadership and hands over its vote, until ctx ends: without that, the end of its process
+// and one more loss could leave the log without a majority for good.
+func (a *Agent) Leave(ctx context.Context, commit time.Duration) bool {
 	a.left.Store(true)
+	call, cancel := context.WithTimeout(ctx, commit)
+	defer cancel()
 	for _, l := range a.State().Leases() {
 		if l.Holder == a.opt.VM && l.Incarnation == a.opt.Incarnation {
-			a.Propose(ctx, state.Command{Release: &state.Release{Name: l.Name, Fence: l.Fence}})
+			a.Propose(call, state.Command{Release: &state.Release{Name: l.Name, Fence: l.Fence}})
 		}
 	}
 	a.leaseEnd.Store(0)
-	a.Propose(ctx, state.Command{Leave: &state.Leave{VM: a.opt.VM, Incarnation: a.opt.Incarnation}})
-	if s, ok := a.Status(); ok && s.Leading {
-		a.replica.Transfer(ctx)
-		a.awaitSuccessor(ctx)
-	}
-}
-
-// awaitSuccessor waits until another node leads. It returns at once if there is no other voter.
-func (a *Agent) awaitSuccessor(ctx context.Context) {
-	for ctx.Err() == nil {
-		if s := a.replica.Status(); !s.Leading && s.Leader != "" || len(s.Members.Voters) == 1 {
-			return
-		}
-		pause.For(ctx, retryInterval)
+	a.Propose(call, state.Command{Leave: &state.Leave{VM: a.opt.VM, Incarnation: a.opt.Incarnation}})
+	inTime := call.Err() == nil
+	if a.replica != nil {
+		a.leaveLog(ctx)
 	}
+	return inTime
 }
 
 // Propose commits c and returns the result of applying it. ErrNoQuorum means that c was not proposed,
--- a/internal/services/authority/authority_test.go
+++ b/internal/services/authority/authority_test.go
@@ -332,7 +332,7 @@
 	require.NoError(t, err)
 	require.Equal(t, state.OK, r.Code)
 	start := time.Now()
-	old.authority.Leave(context.Background())
+	old.authority.Leave(context.Background(), waitTimeout)
 	g.kill(old)
 	var next *node
 	g.waitUntil("a successor", func() bool { next = g.leader(); return next != old })
--- a/internal/services/authority/follow.go
+++ b/internal/services/authority/follow.go
@@ -258,7 +258,7 @@
 func (a *Agent) enrollLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		a.saveAddresses()
-		if s := a.replica.Status(); s.Members.Contains(a.node) && s.Leader != "" {
+		if s := a.replica.Status(); s.Members.Contains(a.node) && s.Leader != "" || a.left.Load() {
 			pause.For(ctx, a.timing.feedWait())
 			continue
 		}
--- a/internal/services/authority/handlers.go
+++ b/internal/services/authority/handlers.go
@@ -25,6 +25,7 @@
 	peer.Handle(t, methodPropose, a.onPropose)
 	peer.Handle(t, methodReport, func(ctx context.Context, _ id.VM, q reportBatch) (grantBatch, error) { return a.batchReports(ctx, q) })
 	peer.Handle(t, methodEnroll, a.onEnroll)
+	peer.Handle(t, methodHandOver, a.onHandOver)
 	peer.Handle(t, methodAwaitRevision, func(ctx context.Context, _ id.VM, q revisionRequest) (RevisionStatus, error) {
 		return a.awaitRevision(ctx, q)
 	})
--- a/internal/services/authority/protocol.go
+++ b/internal/services/authority/protocol.go
@@ -26,6 +26,7 @@
 	methodAppliedIndex  = "applied"
 	methodUsageReports  = "reports"
 	methodNodeInfo      = "who"
+	methodHandOver      = "vote"
 )
 
 // logMessages carries messages of the replicated log.
--- a/internal/services/authority/replacement_test.go
+++ b/internal/services/authority/replacement_test.go
@@ -1,6 +1,7 @@
 package authority
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,8 @@
 const (
 	catchUp    = 4 * time.Second // after which the loss of a VM whose successor runs counts no more
 	catchUpGap = 10 * time.Millisecond
+	leaveTime  = 900 * time.Millisecond // for what a stopping VM commits
+	stopTime   = 5 * time.Second        // until its process ends
 )
 
 var deployedTiming = Timing{Lease: 3 * time.Second, ElectionTimeout: 400 * time.Millisecond, ReplaceVoterAfter: time.Second}
@@ -78,6 +81,23 @@
 	time.Sleep(catchUp + catchUpGap)
 }
 
+// retire stops VMs as planned, all at once.
+func (f *replacementFleet) retire(list []*node) {
+	done := make(chan struct{})
+	for _, n := range list {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+			defer cancel()
+			n.authority.Leave(ctx, leaveTime)
+			done <- struct{}{}
+		}()
+	}
+	for range list {
+		<-done
+	}
+	f.lose(list)
+}
+
 // loseNext takes as many VMs away at once as the fleet is said to bear, and expects that changes go on.
 func (f *replacementFleet) loseNext() {
 	f.t.Helper()
@@ -122,6 +142,45 @@
 	}
 }
 
+// Control VMs are replaced as planned, and the next loss comes when they have ended. They stayed voters, and the log had no majority for good.
+func TestNextLossAfterPlannedReplacement(t *testing.T) {
+	for _, c := range []struct {
+		control, tolerance, lost int
+		leader                   bool
+	}{
+		{3, 1, 1, true},
+		{3, 1, 1, false},
+		{4, 1, 1, true},
+		{5, 2, 2, true},
+		{6, 2, 2, false},
+	} {
+		t.Run(fmt.Sprintf("%d VMs, %d replaced, leader %t", c.control, c.lost, c.leader), func(t *testing.T) {
+			t.Parallel()
+			f := newReplacementFleet(t, c.control, c.tolerance)
+			old := f.pick(c.lost, c.leader)
+			f.addSuccessors(c.lost)
+			f.retire(old)
+			f.loseNext()
+		})
+	}
+}
+
+// The leader is lost while another control VM stops as planned, with a successor that stands by. The one that stops must not end before the others
+// have a leader that has taken its vote over: with two of three voters gone the log had no majority for good.
+func TestLeaderIsLostDuringPlannedStop(t *testing.T) {
+	for _, control := range []int{3, 4} {
+		t.Run(fmt.Sprint(control, " VMs"), func(t *testing.T) {
+			t.Parallel()
+			f := newReplacementFleet(t, control, 1)
+			list := f.pick(2, true)
+			f.addSuccessors(1)
+			f.lose(list[:1])
+			f.retire(list[1:])
+			f.commit()
+		})
+	}
+}
+
 // The leader is replaced three times in a row, each time as soon as the fleet bears it, and the next loss follows.
 func TestLeaderIsReplacedInSeries(t *testing.T) {
 	for _, control := range []int{3, 4} {
@@ -133,5 +192,14 @@
 			}
 			f.loseNext()
 		})
+		t.Run(fmt.Sprint(control, " VMs, planned"), func(t *testing.T) {
+			t.Parallel()
+			f := newReplacementFleet(t, control, 1)
+			for range 3 {
+				f.addSuccessors(1)
+				f.retire(f.pick(1, true))
+			}
+			f.loseNext()
+		})
 	}
 }
--- a/internal/services/authority/voters.go
+++ b/internal/services/authority/voters.go
@@ -25,11 +25,15 @@
 
 	mu    sync.Mutex // held while changes are decided and committed
 	watch voter.Watch
+
+	leavingMu sync.Mutex
+	leaving   map[quorum.Node]int // number of calls that wait for the hand-over
 }
 
 func newVoters(a *Agent) *voters {
 	return &voters{
-		a: a, rules: voter.Rules{Count: a.opt.Voters, Silence: a.timing.ReplaceVoterAfter},
+		a: a, leaving: map[quorum.Node]int{},
+		rules: voter.Rules{Count: a.opt.Voters, Silence: a.timing.ReplaceVoterAfter},
 	}
 }
 
@@ -71,13 +75,18 @@
 func (v *voters) view(s replica.Status) voter.View {
 	view := voter.View{
 		Self: s.Self, Members: s.Members, Commit: s.Commit, Peers: s.Peers, Watch: &v.watch,
-		Former: map[quorum.Node]quorum.Node{},
+		Leaving: map[quorum.Node]bool{}, Former: map[quorum.Node]quorum.Node{},
 	}
 	for _, n := range s.Members.Learners {
 		if old, ok := nodeOfVM(s.Members.Voters, nodeVM(n)); ok {
 			view.Former[n] = old
 		}
 	}
+	v.leavingMu.Lock()
+	defer v.leavingMu.Unlock()
+	for n := range v.leaving {
+		view.Leaving[n] = true
+	}
 	return view
 }
 
--- a/internal/services/voter/model_test.go
+++ b/internal/services/voter/model_test.go
@@ -18,6 +18,7 @@
 	modelStep   = 100 * time.Millisecond
 	modelRound  = 2 * modelStep // between two decisions
 	catchUpTime = 4 * time.Second
+	leaveTime   = 4 * time.Second // for which a stopping VM waits for the hand-over
 )
 
 // vm is a control VM of the model.
@@ -26,6 +27,9 @@
 	silent   bool // frozen or cut off
 	joinAt   time.Duration
 	caughtUp time.Duration // when a learner has caught up
+	leaveBy  time.Duration // stops by then at the latest; zero if it does not stop
+	comeBack time.Duration // how long after its stop it starts again; zero if never
+	lossEnd  *time.Duration
 }
 
 // fleet is a model of the control VMs of a fleet that decides with Rules. What is committed needs the answers of a majority.
@@ -120,7 +124,7 @@
 func (f *fleet) fault() {
 	var well []quorum.Node
 	for n, x := range f.vms {
-		if x.running && !x.silent && f.members.Contains(n) {
+		if x.running && !x.silent && x.leaveBy == 0 && f.members.Contains(n) {
 			well = append(well, n)
 		}
 	}
@@ -130,12 +134,26 @@
 		n = f.leader
 	}
 	x := f.vms[n]
+	kind := f.rnd.IntN(5)
+	if kind == 0 { // planned replacement, the new one first
+		f.log("%s gets a successor", n)
+		f.start()
+		f.after(catchUpTime, func() {
+			if f.answers(n) && x.leaveBy == 0 {
+				f.stop(n)
+			}
+		})
+		return
+	}
 	if f.lost() >= f.tolerance {
 		return
 	}
 	end := f.lose()
-	switch f.rnd.IntN(3) {
-	case 0: // lost for good
+	switch kind {
+	case 1: // planned restart
+		x.comeBack, x.lossEnd = f.between(100*time.Millisecond, 3*time.Second), end
+		f.stop(n)
+	case 2: // lost for good
 		f.log("%s is gone", n)
 		x.running = false
 		f.after(f.between(100*time.Millisecond, 2*time.Second), func() {
@@ -143,11 +161,11 @@
 			f.start()
 			*end = f.now + catchUpTime
 		})
-	case 1: // killed, and back with its disk
+	case 3: // killed, and back with its disk
 		f.log("%s is killed", n)
 		x.running = false
 		f.after(f.between(100*time.Millisecond, 6*time.Second), func() { f.restart(n, end) })
-	case 2: // frozen or cut off
+	case 4: // frozen or cut off
 		f.log("%s is silent", n)
 		x.silent = true
 		f.after(f.between(100*time.Millisecond, 8*time.Second), func() {
@@ -157,11 +175,16 @@
 	}
 }
 
+func (f *fleet) stop(n quorum.Node) {
+	f.log("%s leaves", n)
+	f.vms[n].leaveBy = f.now + leaveTime
+}
+
 // restart starts n again with its disk.
 func (f *fleet) restart(n quorum.Node, end *time.Duration) {
 	f.log("%s is back", n)
 	x := f.vms[n]
-	x.running, x.joinAt = true, f.now+f.between(200*time.Millisecond, time.Second)
+	x.running, x.joinAt, x.leaveBy = true, f.now+f.between(200*time.Millisecond, time.Second), 0
 	*end = f.now + catchUpTime
 }
 
@@ -176,14 +199,14 @@
 	if f.now < f.electAt || !f.hasMajority(f.members.Voters) {
 		return
 	}
-	f.lead()
+	f.lead(func(quorum.Node) bool { return true })
 }
 
-// lead makes a random voter that answers the leader.
-func (f *fleet) lead() {
+// lead makes a random voter that answers and is eligible the leader.
+func (f *fleet) lead(eligible func(quorum.Node) bool) {
 	var list []quorum.Node
 	for _, n := range f.members.Voters {
-		if f.answers(n) && n != f.leader {
+		if f.answers(n) && n != f.leader && eligible(n) {
 			list = append(list, n)
 		}
 	}
@@ -200,7 +223,7 @@
 func (f *fleet) replicate() {
 	for _, n := range slices.Sorted(maps.Keys(f.vms)) {
 		x := f.vms[n]
-		if f.answers(n) && !f.members.Contains(n) && f.now >= x.joinAt {
+		if f.answers(n) && !f.members.Contains(n) && x.leaveBy == 0 && f.now >= x.joinAt {
 			f.members = f.members.With(n, false)
 			x.caughtUp = f.now + f.between(0, 500*time.Millisecond)
 		}
@@ -223,10 +246,14 @@
 }
 
 func (f *fleet) view() View {
-	return View{Self: f.leader, Members: f.members, Commit: 100, Peers: f.peers, Watch: &f.watch}
+	v := View{Self: f.leader, Members: f.members, Commit: 100, Peers: f.peers, Watch: &f.watch, Leaving: map[quorum.Node]bool{}}
+	for n, x := range f.vms {
+		v.Leaving[n] = x.running && x.leaveBy > 0 && n != f.leader
+	}
+	return v
 }
 
-// decide makes the changes that are due.
+// decide makes the changes that are due, and ends the VMs that have left.
 func (f *fleet) decide() {
 	f.watch.Observe(f.term, f.answered, f.peers)
 	for range f.pace {
@@ -241,6 +268,32 @@
 	f.require(f.pace == 1, "changes without end")
 }
 
+// endStops ends the VMs that have handed over, that nobody can replace, or whose time is over.
+func (f *fleet) endStops() {
+	for n, x := range f.vms {
+		if !x.running || x.leaveBy == 0 {
+			continue
+		}
+		if n == f.leader {
+			f.lead(func(n quorum.Node) bool { return f.vms[n].leaveBy == 0 })
+			continue
+		}
+		settled := false
+		if _, due := f.rules.Next(f.view()); f.leader != "" && !due {
+			settled = !f.members.Contains(n) || !f.rules.MayRelease(f.view())
+		}
+		if !settled && f.now < x.leaveBy {
+			continue
+		}
+		f.log("%s has stopped", n)
+		x.running = false
+		if x.comeBack > 0 {
+			f.after(x.comeBack, func() { f.restart(n, x.lossEnd) })
+			x.comeBack = 0
+		}
+	}
+}
+
 func (f *fleet) step() {
 	f.now += modelStep
 	due := f.due
@@ -259,6 +312,7 @@
 			f.decide()
 		}
 	}
+	f.endStops()
 	f.check()
 }
 
@@ -286,7 +340,7 @@
 	}
 }
 
-// Under random losses, returns and replacements within the tolerance, a majority of the voters is always up.
+// Under random losses, returns, replacements and planned stops within the tolerance, a majority of the voters is always up.
 func TestMajorityOutlivesLossesWithinTolerance(t *testing.T) {
 	for _, c := range []struct{ control, tolerance int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}} {
 		t.Run(fmt.Sprint(c.control, " VMs, tolerance ", c.tolerance), func(t *testing.T) {
--- a/internal/services/voter/voter.go
+++ b/internal/services/voter/voter.go
@@ -28,6 +28,7 @@
 	Commit  quorum.Index
 	Peers   map[quorum.Node]quorum.Progress
 	Watch   *Watch
+	Leaving map[quorum.Node]bool        // members whose process is about to end as planned
 	Former  map[quorum.Node]quorum.Node // of a learner on a new disk: the voter on the former disk of its VM
 }
 
@@ -36,9 +37,10 @@
 
 // The causes of changes.
 const (
-	Silent  Cause = "silent" // the voter does not answer
-	NewDisk Cause = "disk"   // the VM of the voter has a new disk
-	Vacant  Cause = "vacant" // the log has fewer voters than it should
+	Silent  Cause = "silent"  // the voter does not answer
+	Leaving Cause = "leaving" // the process ends as planned
+	NewDisk Cause = "disk"    // the VM of the voter has a new disk
+	Vacant  Cause = "vacant"  // the log has fewer voters than it should
 )
 
 // Change is the next change of the members.
@@ -53,8 +55,14 @@
 // Next returns the next change; ok is false if none is due.
 //
 // A voter that does not answer is removed before its successor is promoted: in between the log bears as many losses as before, and a successor
-// that fails right then is not needed.
+// that fails right then is not needed. A voter that leaves as planned still answers, so its successor is promoted first, and no loss in
+// between leaves the log without a majority.
 func (r Rules) Next(v View) (Change, bool) {
+	for _, n := range v.Members.Learners {
+		if v.Leaving[n] {
+			return v.remove(n, Leaving), true
+		}
+	}
 	successor, ready := r.successor(v)
 	missing := r.Count - len(v.Members.Voters)
 	if old, ok := v.Former[successor]; ready && ok {
@@ -66,7 +74,11 @@
 	if n, ok := r.findRemovable(v, r.isSilent); ok && (ready || missing < 0) {
 		return v.remove(n, Silent), true
 	}
-	return Change{}, false
+	n, ok := r.findRemovable(v, isLeaving)
+	if missing < 0 {
+		return v.remove(n, Leaving), ok
+	}
+	return v.promote(successor, Leaving), ready && ok
 }
 
 func (v View) remove(n quorum.Node, c Cause) Change {
@@ -116,6 +128,8 @@
 	return v.Watch.Silence(n) > r.Silence
 }
 
+func isLeaving(v View, n quorum.Node) bool { return v.Leaving[n] }
+
 // answers reports whether n is this leader or has answered it lately.
 func (r Rules) answers(v View, n quorum.Node) bool {
 	return n == v.Self || v.Watch.Heard(n) && r.isFresh(v, n)
@@ -139,3 +153,11 @@
 
 // Spare returns how many further voters the log can lose.
 func (r Rules) Spare(v View) int { return max(0, r.spare(v, v.Members.Voters)) }
+
+// MayRelease reports whether a voter that leaves may get a successor soon, or needs none: there are more voters than there should be, or a learner
+// that answers or may do so, as a new leader has not heard of any.
+func (r Rules) MayRelease(v View) bool {
+	return len(v.Members.Voters) > r.Count || slices.ContainsFunc(v.Members.Learners, func(n quorum.Node) bool {
+		return r.isFresh(v, n) && !v.Leaving[n]
+	})
+}
--- a/internal/services/voter/voter_test.go
+++ b/internal/services/voter/voter_test.go
@@ -18,7 +18,7 @@
 	const end = time.Minute
 	v := View{
 		Self: "a", Members: members, Commit: 100, Watch: &Watch{}, Peers: map[quorum.Node]quorum.Progress{},
-		Former: map[quorum.Node]quorum.Node{},
+		Leaving: map[quorum.Node]bool{}, Former: map[quorum.Node]quorum.Node{},
 	}
 	for now := end - 10*time.Second; now <= end; now += heartbeat {
 		for _, list := range [][]quorum.Node{members.Voters, members.Learners} {
@@ -45,6 +45,7 @@
 		rules   Rules
 		members quorum.Members
 		silent  map[quorum.Node]time.Duration
+		leaving nodes
 		former  map[quorum.Node]quorum.Node
 		change  func(*View)
 		want    Change // without Members and Silence
@@ -68,6 +69,11 @@
 		"a learner that was never heard of gets no vote": {members: members(nodes{"a", "c"}, nodes{"d"}), change: func(v *View) {
 			v.Watch.Observe(2, time.Hour, v.Peers)
 		}},
+		"a voter that leaves is replaced first":         {members: members(nodes{"a", "b", "c"}, nodes{"d"}), leaving: nodes{"b"}, want: Change{Node: "d", Promoted: true, Cause: Leaving}},
+		"and then removed":                              {members: members(nodes{"a", "b", "c", "d"}, nil), leaving: nodes{"b"}, want: Change{Node: "b", Cause: Leaving}},
+		"a voter that leaves without successor stays":   {members: members(nodes{"a", "b", "c"}, nil), leaving: nodes{"b"}},
+		"the leader does not remove itself":             {members: members(nodes{"a", "b", "c"}, nodes{"d"}), leaving: nodes{"a"}},
+		"a learner that leaves goes":                    {members: members(nodes{"a", "b", "c"}, nodes{"d"}), leaving: nodes{"b", "d"}, want: Change{Node: "d", Cause: Leaving}},
 		"one voter too many":                            {members: members(nodes{"a", "b", "c", "d"}, nil), silent: map[quorum.Node]time.Duration{"c": gone}, want: Change{Node: "c", Cause: Silent}},
 		"one voter too many, all of them well":          {members: members(nodes{"a", "b", "c", "d"}, nil)},
 		"a new disk of a voter's VM":                    {members: members(nodes{"a", "b", "c"}, nodes{"d", "b2"}), silent: map[quorum.Node]time.Duration{"b": heartbeat}, former: map[quorum.Node]quorum.Node{"b2": "b"}, want: Change{Node: "b", Cause: NewDisk}},
@@ -80,6 +86,9 @@
 				c.rules = threeVoters
 			}
 			v := watched(c.members, c.silent)
+			for _, n := range c.leaving {
+				v.Leaving[n] = true
+			}
 			if c.former != nil {
 				v.Former = c.former
 			}
