Decisions about voters are passed on, and share nothing with the loop

A look at the members may run on the replica's goroutine after the call that asked for it has ended, and wrote what the loop read then: a data race, found by the race detector in TestSilentVoterReturns (one of two runs). The decision now travels through a channel, and the watch belongs to the replica's goroutine alone.

Evidence: with -race all tests of replacements pass, twice in a row.

--- a/internal/services/authority/leave.go
+++ b/internal/services/authority/leave.go
@@ -12,7 +12,6 @@
 	"wagtaillift/internal/modules/pause"
 	"wagtaillift/internal/modules/peer"
 	"wagtaillift/internal/modules/quorum"
-	"wagtaillift/internal/services/voter"
 )
 
 // votePollInterval is the time between two looks at whether a vote can be handed over.
@@ -20,8 +19,8 @@
 
 // markLeaving counts a call that waits for the hand-over of n.
 func (v *voters) markLeaving(n quorum.Node, calls int) {
-	v.leavingMu.Lock()
-	defer v.leavingMu.Unlock()
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if v.leaving[n] += calls; v.leaving[n] == 0 {
 		delete(v.leaving, n)
 	}
@@ -33,13 +32,13 @@
 	v.markLeaving(n, 1)
 	defer v.markLeaving(n, -1)
 	for {
-		view, err := v.adjust(ctx)
+		d, err := v.adjust(ctx)
 		switch {
 		case errors.Is(err, quorum.ErrNotLeader):
 			return false, ErrNoQuorum
-		case err == nil && !view.Members.Contains(n):
+		case err == nil && !d.members.Contains(n):
 			return true, nil
-		case err == nil && !v.mayRelease(view):
+		case err == nil && !d.mayRelease:
 			return false, nil
 		}
 		if !pause.For(ctx, votePollInterval) {
@@ -48,12 +47,6 @@
 	}
 }
 
-func (v *voters) mayRelease(view voter.View) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.rules.MayRelease(view)
-}
-
 // handOver asks the leader to replace a member of the log whose process is about to end.
 type handOver struct {
 	Node quorum.Node `cbor:"1,keyasint"`
--- a/internal/services/authority/replacement_test.go
+++ b/internal/services/authority/replacement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -203,3 +204,45 @@
 		})
 	}
 }
+
+// A successor of a fleet with a large state votes within the time that it has to catch up, counted from its own start.
+func TestSuccessorOfLargeStateVotesInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		entries, bytes int
+		rate           int // of the successor's link, in bytes a second; 0 for loopback
+	}{
+		"entries":                     {40, 100 << 10, 0},
+		"a snapshot":                  {20, 1 << 20, 0},
+		"entries over 10 Mbit/s":      {10, 100 << 10, 10_000_000 / 8},
+		"many entries over 50 Mbit/s": {500, 8 << 10, 50_000_000 / 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newReplacementFleet(t, 3, 1)
+			for i := range c.entries {
+				x := customerChange(fmt.Sprint("long", i), fmt.Sprint("long", i))
+				x.Change.Reason = strings.Repeat("x", c.bytes)
+				f.waitUntil("change accepted", func() bool {
+					_, err := f.follower.authority.Propose(t.Context(), x)
+					return err == nil
+				})
+			}
+			f.lose(f.pick(1, true))
+			f.leader()
+			successor := &node{name: "successor", control: true, address: "127.0.0.1:0"}
+			if c.rate > 0 {
+				successor.address = unusedAddress(t)
+				successor.proxied = slowLink(t, successor.address, c.rate)
+			}
+			f.vms = append(f.vms, successor)
+			begin := time.Now()
+			f.start(successor)
+			f.waitUntil("it votes", func() bool {
+				s, _ := f.leader().authority.Status()
+				return s.Members.IsVoter(successor.authority.node)
+			})
+			t.Logf("votes after %s", time.Since(begin))
+			require.Less(t, time.Since(begin), catchUp)
+		})
+	}
+}
--- a/internal/services/authority/voters.go
+++ b/internal/services/authority/voters.go
@@ -20,14 +20,12 @@
 type voters struct {
 	a       *Agent
 	rules   voter.Rules
+	watch   voter.Watch  // used only on the replica's goroutine
 	changes atomic.Int64 // committed by this VM
 	spare   atomic.Int64 // voters that the log can still lose
 
-	mu    sync.Mutex // held while changes are decided and committed
-	watch voter.Watch
-
-	leavingMu sync.Mutex
-	leaving   map[quorum.Node]int // number of calls that wait for the hand-over
+	mu      sync.Mutex
+	leaving map[quorum.Node]int // number of calls that wait for the hand-over
 }
 
 func newVoters(a *Agent) *voters {
@@ -47,31 +45,39 @@
 	})
 }
 
-// adjust makes the changes that are due, one after the other, and returns the view in which none is.
-func (v *voters) adjust(ctx context.Context) (voter.View, error) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+// decision is the outcome of one look at the members.
+type decision struct {
+	members    quorum.Members
+	next       voter.Change // unless none is due
+	mayRelease bool         // see voter.Rules
+}
+
+// adjust makes the changes that are due, one after the other, and returns the decision that none is.
+func (v *voters) adjust(ctx context.Context) (decision, error) {
 	for {
-		var view voter.View
-		var next voter.Change
+		made := make(chan decision, 1)
 		changed, err := v.a.replica.ChangeMembers(ctx, func(s replica.Status) (quorum.Members, bool) {
 			v.watch.Observe(s.Term, s.Answered, s.Peers)
-			view = v.view(s)
+			view := v.view(s)
 			v.spare.Store(int64(v.rules.Spare(view)))
-			var due bool
-			next, due = v.rules.Next(view)
+			next, due := v.rules.Next(view)
+			made <- decision{members: s.Members, next: next, mayRelease: v.rules.MayRelease(view)}
 			return next.Members, due
 		})
-		if err != nil || !changed {
-			return view, err
+		if err != nil {
+			return decision{}, err
+		}
+		d := <-made
+		if !changed {
+			return d, nil
 		}
 		v.changes.Add(1)
-		klog.InfoS("Member of the log changed", "node", next.Node, "promoted", next.Promoted, "cause", next.Cause,
-			"silence", next.Silence.Round(time.Millisecond), "voters", next.Members.Voters, "learners", next.Members.Learners)
+		klog.InfoS("Member of the log changed", "node", d.next.Node, "promoted", d.next.Promoted, "cause", d.next.Cause,
+			"silence", d.next.Silence.Round(time.Millisecond), "voters", d.next.Members.Voters, "learners", d.next.Members.Learners)
 	}
 }
 
-// view returns what is known of the members. It shares the watch, which v.mu guards.
+// view returns what is known of the members.
 func (v *voters) view(s replica.Status) voter.View {
 	view := voter.View{
 		Self: s.Self, Members: s.Members, Commit: s.Commit, Peers: s.Peers, Watch: &v.watch,
@@ -82,8 +88,8 @@
 			view.Former[n] = old
 		}
 	}
-	v.leavingMu.Lock()
-	defer v.leavingMu.Unlock()
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	for n := range v.leaving {
 		view.Leaving[n] = true
 	}
