Stops without a grace, enrollments after an election, and removals of old disks

By reading: without stop.grace a stopping control VM waited for the hand-over of its vote until the end of the drain limit (two minutes), if all control VMs stop at once; it now waits for stop.leave, as for the hand-over of leadership before. A learner that stops does not wait for a leader. An enrollment that meets a leader before its first commit waits for it in place of being refused. The old disk of a VM is removed only if a majority of the remaining voters answers.

Evidence: the tests of voter, replica and, with -race, all tests of replacements pass.

--- a/internal/modules/replica/replica.go
+++ b/internal/modules/replica/replica.go
@@ -486,11 +486,11 @@
 	changed := true
 	err := r.enqueue(ctx, func(now time.Duration) {
 		s := r.statusAt(now)
-		if !s.Leading || s.LeaseEnd == 0 {
+		if !s.Leading {
 			ch <- proposalResult[R]{err: quorum.ErrNotLeader}
 			return
 		}
-		if !r.core.CanChangeMembers() {
+		if s.LeaseEnd == 0 || !r.core.CanChangeMembers() {
 			ch <- proposalResult[R]{err: quorum.ErrBusy}
 			return
 		}
--- a/internal/routers/vm/stop.go
+++ b/internal/routers/vm/stop.go
@@ -42,11 +42,15 @@
 	}
 }
 
-// leave commits the remaining usage and leaves the fleet, and the log by exit. It reports whether there was time to commit everything.
+// leave commits the remaining usage and leaves the fleet, and the log by exit if the grace is known. It reports whether there was time to commit
+// everything.
 func (v *VM) leave(ctx context.Context, exit time.Time) bool {
+	start := time.Now()
+	if v.cfg.Shutdown.Grace <= 0 {
+		exit = start.Add(v.cfg.Shutdown.Leave)
+	}
 	ctx, cancel := context.WithDeadline(ctx, exit)
 	defer cancel()
-	start := time.Now()
 	call, cancelCall := context.WithTimeout(ctx, v.cfg.Shutdown.Leave)
 	defer cancelCall()
 	v.authority.FlushUsage(call)
--- a/internal/services/authority/leave.go
+++ b/internal/services/authority/leave.go
@@ -85,6 +85,8 @@
 			if a.requestHandOver(ctx, addr) {
 				return
 			}
+		case !s.Members.IsVoter(a.node):
+			return
 		}
 		pause.For(ctx, votePollInterval)
 	}
--- a/internal/services/voter/voter.go
+++ b/internal/services/voter/voter.go
@@ -65,7 +65,7 @@
 	}
 	successor, ready := r.successor(v)
 	missing := r.Count - len(v.Members.Voters)
-	if old, ok := v.Former[successor]; ready && ok {
+	if old, ok := v.Former[successor]; ready && ok && r.spare(v, v.Members.Without(old).Voters) >= 0 {
 		return v.remove(old, NewDisk), true
 	}
 	if missing > 0 {
