--- a/internal/services/authority/replacement_test.go
+++ b/internal/services/authority/replacement_test.go
@@ -207,15 +207,27 @@
 
 // A successor of a fleet with a large state votes within the time that it has to catch up, counted from its own start.
 func TestSuccessorOfLargeStateVotesInTime(t *testing.T) {
-	for name, c := range map[string]struct {
-		entries, bytes int
-		rate           int // of the successor's link, in bytes a second; 0 for loopback
-	}{
+	requireSuccessorsInTime(t, map[string]largeState{
 		"entries":                     {40, 100 << 10, 0},
 		"a snapshot":                  {20, 1 << 20, 0},
 		"entries over 10 Mbit/s":      {10, 100 << 10, 10_000_000 / 8},
 		"many entries over 50 Mbit/s": {500, 8 << 10, 50_000_000 / 8},
-	} {
+	})
+}
+
+// The same for a snapshot of 20 MB over a slow link.
+func TestSuccessorOfLargeSnapshotOverSlowLink(t *testing.T) {
+	requireSuccessorsInTime(t, map[string]largeState{"a snapshot over 100 Mbit/s": {20, 1 << 20, 100_000_000 / 8}})
+}
+
+// largeState is what a successor has to catch up with.
+type largeState struct {
+	entries, bytes int
+	rate           int // of the successor's link, in bytes a second; 0 for loopback
+}
+
+func requireSuccessorsInTime(t *testing.T, cases map[string]largeState) {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newReplacementFleet(t, 3, 1)
