--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -29,6 +29,8 @@
 	switch os.Args[1] {
 	case "departure":
 		code = playDeparture(rec, trouble)
+	case "chunks":
+		code = playChunks(rec, trouble)
 	}
 	rec.add("exit code %d", code)
 	os.Exit(code)
@@ -130,3 +132,38 @@
 	}
 	return true
 }
+
+const (
+	spoilTime = 5500 * time.Millisecond
+	spoilEach = 50 // a share of 0.02
+)
+
+// playChunks: for some seconds one engine of three spoils a share of 0.02 of its answers.
+func playChunks(rec *record, trouble bool) int {
+	f, engines, c, ok := setUp(rec, 3, 3)
+	if f != nil {
+		defer f.stop()
+	}
+	if c != nil {
+		defer c.stop()
+	}
+	if !ok {
+		return failed
+	}
+	x := engines[0]
+	if trouble {
+		x.spoilEach.Store(spoilEach)
+	}
+	time.Sleep(spoilTime)
+	x.spoilEach.Store(0)
+	time.Sleep(time.Second)
+	rec.add("%d answers were spoiled; %d requests were answered with the engine's body, %d with another", x.spoiled.Load(), c.answered.Load(), c.wrong.Load())
+	if trouble && x.spoiled.Load() == 0 {
+		rec.add("no answer was spoiled")
+		return failed
+	}
+	if c.wrong.Load() > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/cases3/standins.go
+++ b/review/cases3/standins.go
@@ -27,6 +27,10 @@
 	leaving  bool // it has deregistered, or is draining, and sends no further pings by itself
 	at       int  // core machine that gets the next ping
 	runs     []run
+
+	spoilEach atomic.Int64 // one answer of so many is spoiled; zero spoils none
+	answers   atomic.Int64 // while spoilEach is set
+	spoiled   atomic.Int64
 }
 
 // run is a request that an engine ran.
@@ -64,10 +68,32 @@
 	e.mu.Unlock()
 	e.fleet.rec.add("engine %s runs %s (%s %s)", e.id, id, r.Method, r.URL.Path)
 	time.Sleep(workTime)
+	if n := e.spoilEach.Load(); n > 0 && e.answers.Add(1)%n == 0 {
+		e.spoil(w, id)
+		return
+	}
 	w.Header().Set("X-Response-Signature", "s."+id)
 	fmt.Fprintf(w, "answer to %s", id)
 }
 
+// spoil sends bytes that are no answer of HTTP/1.1, and closes: an answer of HTTP/1.0 that claims to be in chunks, which HTTP/1.0 doesn't know
+// (RFC 9112, section 6.1), by turns alone and beside a length.
+func (e *engine) spoil(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	body := "answer to " + id
+	length := ""
+	if e.spoiled.Add(1)%2 == 0 {
+		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	e.fleet.rec.add("engine %s spoils its answer to %s", e.id, id)
+	fmt.Fprintf(conn, "HTTP/1.0 200 OK\r\nX-Request-Id: %s\r\nX-Response-Signature: s.%s\r\nContent-Type: text/plain\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+		id, id, length, len(body), body)
+}
+
 // ping returns the body of the next ping.
 func (e *engine) ping(state string) []byte {
 	e.mu.Lock()
